Lay out the workspace, the outcome types and the contracts between slices

Cause: the slices are built side by side, so the types that cross them come first. Ruled out: derives through macro_rules, because the formatter skips items inside a macro call; a small proc-macro crate keeps items formatted. Conclusion: the contracts compile and slices can start.

--- /dev/null
+++ b/crates/papayastack-caller/src/main.rs
@@ -0,0 +1,3 @@
+//! The callers' command line.
+
+fn main() {}
--- /dev/null
+++ b/crates/papayastack-control/src/main.rs
@@ -0,0 +1,3 @@
+//! The operators' command line.
+
+fn main() {}
--- /dev/null
+++ b/crates/papayastack-daemon/src/main.rs
@@ -0,0 +1,3 @@
+//! The daemon on each entry VM.
+
+fn main() {}
--- /dev/null
+++ b/crates/papayastack-load/src/main.rs
@@ -0,0 +1,3 @@
+//! Open-loop load and experiments on loopback.
+
+fn main() {}
--- /dev/null
+++ b/crates/papayastack-quickstart/src/main.rs
@@ -0,0 +1,3 @@
+//! Four VMs and their stand-ins in one process.
+
+fn main() {}
--- /dev/null
+++ b/crates/papayastack-standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for upstreams and for the platform, for tests and measurements.
--- /dev/null
+++ b/crates/papayastack-standin/src/main.rs
@@ -0,0 +1,3 @@
+//! Stand-ins for upstreams and for the platform.
+
+fn main() {}
--- /dev/null
+++ b/crates/papayastack/src/lib.rs
@@ -0,0 +1,35 @@
+//! Coordination parts of a query tier over many search shards.
+//!
+//! The crate owns the outcome of a request: each [`Answer`] is complete or honestly labelled and
+//! comes from one snapshot; each [`Refusal`] says how certainly the request did not run.
+//!
+//! | slice | duty |
+//! |---|---|
+//! | `outcome` | answers, coverage, verdicts, refusals |
+//! | `settings` | the configuration of a site and of a VM |
+//! | `platform` | the platform's object API |
+//! | `catalogue` | snapshots and shard maps |
+//! | `configuration` | the accepted bundle and what is in force |
+//! | `membership` | which VMs are live |
+//! | `upstream` | the upstreams' protocol and client |
+//! | `caller` | the callers' protocol |
+
+mod caller;
+mod catalogue;
+mod configuration;
+mod ids;
+mod membership;
+mod outcome;
+mod platform;
+mod settings;
+mod upstream;
+
+pub use caller::*;
+pub use catalogue::*;
+pub use configuration::*;
+pub use ids::*;
+pub use membership::*;
+pub use outcome::*;
+pub use platform::*;
+pub use settings::*;
+pub use upstream::*;
--- /dev/null
+++ b/crates/papayastack/src/outcome/coverage.rs
@@ -0,0 +1,147 @@
+//! Which shards of the pinned snapshot answered, which did not, and why.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use papayastack_macros::{closed_set, message, value};
+
+use crate::ids::{ShardId, SnapshotVersion};
+
+/// Says why a shard is missing from an answer.
+#[closed_set]
+pub enum MissingReason {
+    /// No partial answer came within the deadline.
+    DeadlineExceeded,
+    /// Every replica of the shard failed or is unreachable.
+    ReplicasUnavailable,
+    /// Every replica of the shard is overloaded.
+    Overloaded,
+    /// The pinned snapshot was retired while the query ran.
+    SnapshotRetired,
+    /// The shard has no replica in the shard map.
+    NoReplica,
+    /// The service's concurrency limit left no room for the shard.
+    Cancelled,
+}
+
+/// States which shards of one snapshot an answer covers.
+#[message]
+#[serde(try_from = "CoverageParts", into = "CoverageParts")]
+pub struct Coverage {
+    snapshot: SnapshotVersion,
+    answered: BTreeSet<ShardId>,
+    missing: BTreeMap<ShardId, MissingReason>,
+}
+
+impl Coverage {
+    /// Builds a coverage statement.
+    ///
+    /// # Errors
+    /// A shard both answered and missing, or no shard at all.
+    pub fn new(
+        snapshot: SnapshotVersion,
+        answered: BTreeSet<ShardId>,
+        missing: BTreeMap<ShardId, MissingReason>,
+    ) -> Result<Self, CoverageError> {
+        if let Some(shard) = missing.keys().find(|shard| answered.contains(shard)) {
+            return Err(CoverageError::Contradictory { shard: *shard });
+        }
+        if answered.is_empty() && missing.is_empty() {
+            return Err(CoverageError::NoShards);
+        }
+        Ok(Self { snapshot, answered, missing })
+    }
+
+    /// Returns the snapshot that every covered shard answered from.
+    pub fn snapshot(&self) -> SnapshotVersion {
+        self.snapshot
+    }
+
+    /// Returns the shards that answered.
+    pub fn answered(&self) -> &BTreeSet<ShardId> {
+        &self.answered
+    }
+
+    /// Returns the shards that did not answer, each with the reason.
+    pub fn missing(&self) -> &BTreeMap<ShardId, MissingReason> {
+        &self.missing
+    }
+
+    /// Returns the proof that every shard answered, where that is so.
+    pub fn complete(&self) -> Option<CompleteCoverage<'_>> {
+        self.missing.is_empty().then_some(CompleteCoverage { coverage: self })
+    }
+
+    /// Returns the covered share of the shards, in thousandths, rounded down.
+    pub fn share_permille(&self) -> u32 {
+        let shards = self.answered.len() + self.missing.len();
+        u32::try_from(self.answered.len() * 1000 / shards).unwrap_or(0)
+    }
+}
+
+/// Proves that a coverage statement misses no shard.
+#[derive(Debug, Clone, Copy)]
+pub struct CompleteCoverage<'a> {
+    coverage: &'a Coverage,
+}
+
+impl CompleteCoverage<'_> {
+    /// Returns the snapshot that was covered completely.
+    pub fn snapshot(&self) -> SnapshotVersion {
+        self.coverage.snapshot
+    }
+}
+
+/// Says why a coverage statement cannot be built.
+#[value]
+pub enum CoverageError {
+    /// One shard stands on both sides.
+    Contradictory {
+        /// The shard in question.
+        shard: ShardId,
+    },
+    /// The statement names no shard.
+    NoShards,
+}
+
+impl std::fmt::Display for CoverageError {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Contradictory { shard } => {
+                write!(formatter, "shard {shard} is given as answered and as missing")
+            }
+            Self::NoShards => write!(formatter, "the coverage names no shard"),
+        }
+    }
+}
+
+impl std::error::Error for CoverageError {}
+
+#[message]
+struct CoverageParts {
+    snapshot: SnapshotVersion,
+    complete: bool,
+    answered: BTreeSet<ShardId>,
+    missing: BTreeMap<ShardId, MissingReason>,
+}
+
+impl From<Coverage> for CoverageParts {
+    fn from(coverage: Coverage) -> Self {
+        Self {
+            snapshot: coverage.snapshot,
+            complete: coverage.missing.is_empty(),
+            answered: coverage.answered,
+            missing: coverage.missing,
+        }
+    }
+}
+
+impl TryFrom<CoverageParts> for Coverage {
+    type Error = String;
+
+    fn try_from(parts: CoverageParts) -> Result<Self, Self::Error> {
+        if parts.complete != parts.missing.is_empty() {
+            return Err("`complete` contradicts `missing`".to_owned());
+        }
+        Self::new(parts.snapshot, parts.answered, parts.missing).map_err(|error| error.to_string())
+    }
+}
--- /dev/null
+++ b/crates/papayastack/src/outcome/mod.rs
@@ -0,0 +1,13 @@
+//! What a caller is told: answers with their coverage, and refusals with their certainty.
+
+mod answer;
+mod coverage;
+mod refusal;
+#[cfg(test)]
+mod tests;
+mod verdict;
+
+pub use answer::{Answer, Hit, MergeError, Partial};
+pub use coverage::{CompleteCoverage, Coverage, CoverageError, MissingReason};
+pub use refusal::{Certainty, Custody, Refusal, RefusalReason};
+pub use verdict::Verdict;
--- /dev/null
+++ b/crates/papayastack/src/outcome/refusal.rs
@@ -0,0 +1,122 @@
+//! Refusals, and the record of hand-offs that decides how certain a refusal is.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use papayastack_macros::{closed_set, message};
+
+/// Says how much is known about a refused request.
+#[closed_set]
+pub enum Certainty {
+    /// No part of the request ran.
+    NotRun,
+    /// Some part of the request may have run.
+    OutcomeUnknown,
+}
+
+/// Says why a request was refused.
+#[closed_set]
+pub enum RefusalReason {
+    /// The request is malformed or breaks a limit.
+    BadRequest,
+    /// The service is not configured.
+    UnknownService,
+    /// The VM is at its limit of requests in flight.
+    Overloaded,
+    /// The deadline leaves too little time.
+    DeadlineTooShort,
+    /// The VM has no configuration or snapshot yet.
+    NotReady,
+    /// The VM is leaving.
+    Leaving,
+    /// The platform's store does not answer.
+    StoreUnavailable,
+    /// No replica could be reached.
+    UpstreamUnavailable,
+    /// The deadline passed.
+    DeadlineExceeded,
+    /// The same submission key came with another body.
+    Conflict,
+    /// The submission key was issued before the retention window.
+    NoLongerKnown,
+    /// The submission is still in progress.
+    InProgress,
+    /// An earlier attempt of the submission has an unknown outcome.
+    EarlierAttemptUnknown,
+}
+
+/// Tells a caller that its request was given up, how certainly it did not run, and when to
+/// come back.
+#[message]
+pub struct Refusal {
+    certainty: Certainty,
+    reason: RefusalReason,
+    detail: String,
+    retry_after_ms: Option<u64>,
+}
+
+impl Refusal {
+    /// Returns how much is known about the request.
+    pub fn certainty(&self) -> Certainty {
+        self.certainty
+    }
+
+    /// Returns why the request was refused.
+    pub fn reason(&self) -> RefusalReason {
+        self.reason
+    }
+
+    /// Returns the explanation for a person, with the way out.
+    pub fn detail(&self) -> &str {
+        &self.detail
+    }
+
+    /// Returns when to come back; absent where the same request cannot succeed.
+    pub fn retry_after(&self) -> Option<Duration> {
+        self.retry_after_ms.map(Duration::from_millis)
+    }
+}
+
+/// Records to whom a request was handed, so that "not run" is claimed only where it is proved.
+#[derive(Debug, Default)]
+pub struct Custody {
+    holders: BTreeSet<String>,
+}
+
+impl Custody {
+    /// Starts with a request that nobody else has received.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Records that `recipient`, an upstream or a VM, may have received part of the request.
+    pub fn handed_to(&mut self, recipient: impl Into<String>) {
+        self.holders.insert(recipient.into());
+    }
+
+    /// Records that `recipient` itself said that it did not run its part.
+    pub fn returned_not_run(&mut self, recipient: &str) {
+        self.holders.remove(recipient);
+    }
+
+    /// Returns what a refusal may claim now.
+    pub fn certainty(&self) -> Certainty {
+        if self.holders.is_empty() { Certainty::NotRun } else { Certainty::OutcomeUnknown }
+    }
+
+    /// Ends the request with a refusal whose certainty follows from the hand-offs.
+    pub fn refuse(
+        self,
+        reason: RefusalReason,
+        detail: impl Into<String>,
+        retry_after: Option<Duration>,
+    ) -> Refusal {
+        Refusal {
+            certainty: self.certainty(),
+            reason,
+            detail: detail.into(),
+            retry_after_ms: retry_after
+                .map(|wait| u64::try_from(wait.as_millis()).unwrap_or(u64::MAX)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/papayastack/src/outcome/tests.rs
@@ -0,0 +1,79 @@
+//! Tests of answers, coverage and refusals.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::*;
+
+fn coverage(answered: &[u32], missing: &[u32]) -> Coverage {
+    let missing = missing.iter().map(|shard| (*shard, MissingReason::DeadlineExceeded));
+    Coverage::new(7, answered.iter().copied().collect(), missing.collect()).unwrap()
+}
+
+fn partial(snapshot: u64, shard: u32, ids: &[&str]) -> Partial {
+    let hit = |id: &&str| Hit { id: (*id).to_owned(), score: 1, summary: String::new() };
+    let hits: Vec<Hit> = ids.iter().map(hit).collect();
+    Partial { snapshot, shard, hits_total: hits.len() as u64, hits }
+}
+
+#[test]
+fn none_found_needs_complete_coverage() {
+    let complete =
+        Answer::merge("s".into(), coverage(&[0], &[]), &[partial(7, 0, &[])], 10).unwrap();
+    let lacking =
+        Answer::merge("s".into(), coverage(&[0], &[1]), &[partial(7, 0, &[])], 10).unwrap();
+
+    assert!(complete.verdict().is_none_found());
+    assert!(lacking.verdict().is_inconclusive());
+}
+
+#[test]
+fn another_snapshot_never_merges() {
+    let partials = [partial(7, 0, &["a"]), partial(8, 1, &["b"])];
+
+    let merged = Answer::merge("s".into(), coverage(&[0, 1], &[]), &partials, 10);
+
+    assert_eq!(merged, Err(MergeError::OtherSnapshot { expected: 7, received: 8 }));
+}
+
+#[test]
+fn a_shard_merges_exactly_once() {
+    let twice = [partial(7, 0, &["a"]), partial(7, 0, &["a"])];
+
+    let merged = Answer::merge("s".into(), coverage(&[0], &[]), &twice, 10);
+
+    assert_eq!(merged, Err(MergeError::UnexpectedShard { shard: 0 }));
+}
+
+#[test]
+fn a_false_none_found_is_rejected_on_the_wire() {
+    let answer =
+        Answer::merge("s".into(), coverage(&[0], &[1]), &[partial(7, 0, &[])], 10).unwrap();
+    let text = serde_json::to_string(&answer).unwrap();
+
+    let forged = text.replace("inconclusive", "none_found");
+
+    assert_eq!(serde_json::from_str::<Answer>(&text).unwrap(), answer);
+    assert!(serde_json::from_str::<Answer>(&forged).is_err());
+}
+
+#[test]
+fn a_contradictory_coverage_is_rejected() {
+    let missing = BTreeMap::from([(1, MissingReason::Overloaded)]);
+
+    let coverage = Coverage::new(7, BTreeSet::from([1]), missing);
+
+    assert_eq!(coverage, Err(CoverageError::Contradictory { shard: 1 }));
+}
+
+#[test]
+fn not_run_needs_every_holder_to_return_it() {
+    let mut custody = Custody::new();
+    custody.handed_to("a");
+    custody.handed_to("b");
+    custody.returned_not_run("a");
+
+    let refusal = custody.refuse(RefusalReason::Overloaded, "busy", None);
+
+    assert_eq!(refusal.certainty(), Certainty::OutcomeUnknown);
+    assert_eq!(Custody::new().certainty(), Certainty::NotRun);
+}
--- /dev/null
+++ b/crates/papayastack/src/platform/api.rs
@@ -0,0 +1,141 @@
+//! The interface to the platform, and its typed outcomes.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use papayastack_macros::{closed_set, message, value};
+
+use crate::ids::DataCentreName;
+
+/// Counts the updates of one object; every accepted update raises it.
+pub type ObjectVersion = u64;
+
+/// Names an object of the platform.
+#[message]
+#[derive(PartialOrd, Ord)]
+pub struct ObjectName {
+    /// The kind, for example `configuration` or `ledger`.
+    pub kind: String,
+    /// The name within the kind.
+    pub name: String,
+}
+
+impl ObjectName {
+    /// Names the object `name` of `kind`.
+    pub fn new(kind: impl Into<String>, name: impl Into<String>) -> Self {
+        Self { kind: kind.into(), name: name.into() }
+    }
+}
+
+/// An object as read from the platform.
+#[message]
+pub struct Object {
+    /// The version that was read.
+    pub version: ObjectVersion,
+    /// The content, a megabyte at most.
+    pub value: serde_json::Value,
+}
+
+/// What must hold for an update to be accepted.
+#[value]
+pub enum Precondition {
+    /// The object does not exist.
+    Absent,
+    /// The object still has this version.
+    Version(ObjectVersion),
+}
+
+/// Whether a listed machine is in use.
+#[closed_set]
+pub enum ListedState {
+    /// The machine is in use.
+    Live,
+    /// The machine is about to go.
+    Leaving,
+}
+
+/// One entry of the platform's lagging list of VMs.
+#[message]
+pub struct ListedVm {
+    /// The link address of an entry VM, or the address of an upstream.
+    pub address: SocketAddr,
+    /// The data centre that it runs in.
+    pub data_centre: DataCentreName,
+    /// Whether it is an entry VM of this system rather than an upstream.
+    pub entry_vm: bool,
+    /// Whether it is in use.
+    pub state: ListedState,
+}
+
+/// Says why a call to the platform gave no result.
+#[value]
+pub enum PlatformError {
+    /// The object does not exist.
+    NotFound,
+    /// The precondition does not hold; nothing was changed.
+    Conflict,
+    /// The platform refused the call because of its rate; nothing was changed.
+    RateLimited {
+        /// When to come back.
+        retry_after: Duration,
+    },
+    /// The platform refused the call during an outage; nothing was changed.
+    Unavailable,
+    /// The call was sent but no answer came; an update may have taken effect.
+    AnswerLost,
+    /// The platform says that the request is wrong, for example too large; nothing was changed.
+    Rejected {
+        /// The platform's explanation.
+        detail: String,
+    },
+}
+
+impl std::fmt::Display for PlatformError {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::NotFound => write!(formatter, "the object does not exist"),
+            Self::Conflict => write!(formatter, "the object was changed by somebody else"),
+            Self::RateLimited { retry_after } => {
+                write!(formatter, "the platform asks to wait {} ms", retry_after.as_millis())
+            }
+            Self::Unavailable => write!(formatter, "the platform is not available"),
+            Self::AnswerLost => write!(formatter, "the platform's answer was lost"),
+            Self::Rejected { detail } => write!(formatter, "the platform rejects this: {detail}"),
+        }
+    }
+}
+
+impl std::error::Error for PlatformError {}
+
+/// The platform as the system uses it; every call counts against the platform's rates.
+#[async_trait]
+pub trait Platform: Send + Sync + 'static {
+    /// Reads an object.
+    async fn read(&self, name: &ObjectName) -> Result<Object, PlatformError>;
+
+    /// Waits up to `wait` for a version of the object above `after`; `None` where none came.
+    async fn watch(
+        &self,
+        name: &ObjectName,
+        after: ObjectVersion,
+        wait: Duration,
+    ) -> Result<Option<Object>, PlatformError>;
+
+    /// Writes an object if `precondition` holds and returns the new version.
+    async fn update(
+        &self,
+        name: &ObjectName,
+        precondition: Precondition,
+        value: serde_json::Value,
+    ) -> Result<ObjectVersion, PlatformError>;
+
+    /// Deletes an object if it still has `version`.
+    async fn delete(&self, name: &ObjectName, version: ObjectVersion) -> Result<(), PlatformError>;
+
+    /// Lists the names of the objects of one kind.
+    async fn list(&self, kind: &str) -> Result<Vec<ObjectName>, PlatformError>;
+
+    /// Lists live and leaving VMs and upstreams; the list lags.
+    async fn vms(&self) -> Result<Vec<ListedVm>, PlatformError>;
+}
--- /dev/null
+++ b/crates/papayastack/src/upstream/protocol.rs
@@ -0,0 +1,122 @@
+//! The messages of the upstreams' HTTP interface, JSON both ways.
+//!
+//! | path | body | reply |
+//! |---|---|---|
+//! | `POST /search` | [`SearchRequest`] | [`SearchReply`] |
+//! | `POST /cancel` | [`CancelRequest`] | empty; the search itself then answers `Cancelled` |
+//! | `POST /submit` | [`SubmitRequest`] | [`SubmitReply`] |
+//! | `GET /load` | | `{"slots_busy", "slots", "queue", "draining"}`, which may lag or mislead |
+//!
+//! Every reply has status 200 when the upstream understood the request; its kind is in the body.
+
+use papayastack_macros::message;
+
+use crate::ids::{AttemptId, QueryId, ServiceName, ShardId, SnapshotVersion};
+use crate::outcome::Partial;
+
+/// What a query looks for.
+#[message]
+#[serde(rename_all = "snake_case")]
+pub enum Selection {
+    /// Documents that contain every term.
+    Terms(Vec<String>),
+    /// The document with this key.
+    Key(String),
+}
+
+/// Asks an upstream to search one shard.
+#[message]
+pub struct SearchRequest {
+    /// The service.
+    pub service: ServiceName,
+    /// The query that the search belongs to.
+    pub query: QueryId,
+    /// The attempt, unique within the query.
+    pub attempt: AttemptId,
+    /// The shard to search.
+    pub shard: ShardId,
+    /// The snapshot to search.
+    pub snapshot: SnapshotVersion,
+    /// What to look for.
+    pub selection: Selection,
+    /// The most hits to return.
+    pub hits_limit: u32,
+    /// The time that is left, in milliseconds.
+    pub remaining_ms: u64,
+}
+
+/// Answers a [`SearchRequest`].
+#[message]
+#[serde(rename_all = "snake_case")]
+pub enum SearchReply {
+    /// The shard was searched.
+    Found {
+        /// The query of the request.
+        query: QueryId,
+        /// The attempt of the request.
+        attempt: AttemptId,
+        /// The result.
+        partial: Partial,
+    },
+    /// Not run: no slot is free.
+    Shed {
+        /// When to come back, in milliseconds.
+        retry_after_ms: u64,
+    },
+    /// Not run: the upstream is leaving.
+    Draining,
+    /// Not run: the upstream no longer holds the snapshot.
+    SnapshotRetired {
+        /// The newest snapshot that the upstream holds.
+        newest: SnapshotVersion,
+    },
+    /// Not run: the upstream does not hold the shard.
+    WrongShard,
+    /// Stopped: cancelled by request, or the deadline passed.
+    Cancelled,
+}
+
+/// Cancels a search.
+#[message]
+pub struct CancelRequest {
+    /// The query of the search.
+    pub query: QueryId,
+    /// The attempt of the search.
+    pub attempt: AttemptId,
+}
+
+/// Asks an upstream to run a submission, which is not idempotent.
+#[message]
+pub struct SubmitRequest {
+    /// The service.
+    pub service: ServiceName,
+    /// The caller's key.
+    pub key: String,
+    /// What is submitted.
+    pub body: serde_json::Value,
+    /// The time that is left, in milliseconds.
+    pub remaining_ms: u64,
+}
+
+/// Answers a [`SubmitRequest`].
+#[message]
+#[serde(rename_all = "snake_case")]
+pub enum SubmitReply {
+    /// The submission ran.
+    Done {
+        /// The upstream's receipt.
+        receipt: String,
+    },
+    /// Not run: no slot is free.
+    Shed {
+        /// When to come back, in milliseconds.
+        retry_after_ms: u64,
+    },
+    /// Not run: the upstream is leaving.
+    Draining,
+    /// Not run: the upstream refuses the content.
+    Rejected {
+        /// The upstream's explanation.
+        detail: String,
+    },
+}
