Add routing, the fan-out machine and the upstream gate

Cause: the path of a query needs its decisions before any input or output. Ruled out: slot limits at the entry VM alone, since 8,000 VMs cannot share 2 to 5 slots; hedging at the owner, since it owns one replica of a shard and not the others. Speed is not measured yet. Conclusion: the decisions are values in and values out; the fan-out's own tests follow with the path.

--- /dev/null
+++ b/crates/papayastack/src/dispatch/gate.rs
@@ -0,0 +1,230 @@
+//! The gate of one upstream: exact slot accounting and a deadline-ordered queue by class.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use papayastack_macros::value;
+
+use crate::ids::{AttemptId, QueryId};
+use crate::settings::QueryClass;
+
+/// Every how many starts the least urgent waiting class goes first, so that none starves.
+const FAIR_TURN: u32 = 8;
+/// The weight of a new service time, as one part in this many.
+const SERVICE_WINDOW: u32 = 16;
+
+/// Identifies one sub-request at a gate.
+#[value]
+#[derive(Copy, PartialOrd, Ord)]
+pub struct Ticket {
+    /// The link or local source that the sub-request came from.
+    pub source: u64,
+    /// The query.
+    pub query: QueryId,
+    /// The attempt within the query.
+    pub attempt: AttemptId,
+}
+
+/// A sub-request that waits for a slot.
+#[value]
+pub struct Waiting {
+    /// Who asks.
+    pub ticket: Ticket,
+    /// The class of the query.
+    pub class: QueryClass,
+    /// When the answer is needed.
+    pub deadline: Instant,
+}
+
+/// The limits of a gate.
+#[value]
+#[derive(Copy)]
+pub struct GateLimits {
+    /// Sub-requests that may run at once.
+    pub slots: u32,
+    /// Sub-requests that may wait.
+    pub queue_max: u32,
+}
+
+/// What became of an offered sub-request.
+#[value]
+pub enum OfferResult {
+    /// It has a slot and starts now.
+    Start,
+    /// It waits.
+    Queued,
+    /// Not run: the queue is full.
+    QueueFull,
+    /// Not run: its turn would come after its deadline.
+    WouldMissDeadline,
+    /// Not run: the upstream is leaving.
+    Closed,
+}
+
+/// What became of a cancelled sub-request.
+#[value]
+pub enum CancelResult {
+    /// It was waiting and will not run.
+    Dequeued,
+    /// It is running; its slot is freed when it ends.
+    Running,
+    /// It is not known, or has ended.
+    Unknown,
+}
+
+/// The gate of one upstream.
+#[derive(Debug)]
+pub struct Gate {
+    limits: GateLimits,
+    running: BTreeMap<Ticket, Instant>,
+    queues: BTreeMap<QueryClass, BTreeSet<(Instant, Ticket)>>,
+    waiting: BTreeMap<Ticket, (QueryClass, Instant)>,
+    starts: u32,
+    service_average: Duration,
+    closed: bool,
+}
+
+impl Gate {
+    /// Opens a gate with free slots and an empty queue.
+    pub fn new(limits: GateLimits) -> Self {
+        Self {
+            limits,
+            running: BTreeMap::new(),
+            queues: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            starts: 0,
+            service_average: Duration::ZERO,
+            closed: false,
+        }
+    }
+
+    /// Changes the limits; what runs is not cut.
+    pub fn set_limits(&mut self, limits: GateLimits) {
+        self.limits = limits;
+    }
+
+    /// Takes a sub-request or refuses it at once.
+    pub fn offer(&mut self, item: Waiting, now: Instant) -> OfferResult {
+        if self.closed {
+            return OfferResult::Closed;
+        }
+        if self.waiting.is_empty() && self.has_free_slot() {
+            self.start(item.ticket, now);
+            return OfferResult::Start;
+        }
+        if self.waiting.len() >= self.limits.queue_max as usize {
+            return OfferResult::QueueFull;
+        }
+        if now + self.expected_wait(&item) >= item.deadline {
+            return OfferResult::WouldMissDeadline;
+        }
+        self.waiting.insert(item.ticket, (item.class, item.deadline));
+        self.queues.entry(item.class).or_default().insert((item.deadline, item.ticket));
+        OfferResult::Queued
+    }
+
+    /// Frees the slot of an ended sub-request; `false` where it held none.
+    pub fn finish(&mut self, ticket: &Ticket, now: Instant) -> bool {
+        let Some(started) = self.running.remove(ticket) else {
+            return false;
+        };
+        let service = now.saturating_duration_since(started);
+        self.service_average = if self.service_average.is_zero() {
+            service
+        } else {
+            (self.service_average * (SERVICE_WINDOW - 1) + service) / SERVICE_WINDOW
+        };
+        true
+    }
+
+    /// Starts the next waiting sub-request if a slot is free.
+    pub fn start_next(&mut self, now: Instant) -> Option<Ticket> {
+        if self.closed || !self.has_free_slot() {
+            return None;
+        }
+        let class = self.next_class()?;
+        let (_, ticket) = self.queues.get_mut(&class)?.pop_first()?;
+        self.waiting.remove(&ticket);
+        self.start(ticket, now);
+        Some(ticket)
+    }
+
+    /// Removes the waiting sub-requests whose deadline has passed.
+    pub fn expire(&mut self, now: Instant) -> Vec<Ticket> {
+        let mut expired = Vec::new();
+        for queue in self.queues.values_mut() {
+            while queue.first().is_some_and(|(deadline, _)| *deadline <= now) {
+                expired.extend(queue.pop_first().map(|(_, ticket)| ticket));
+            }
+        }
+        for ticket in &expired {
+            self.waiting.remove(ticket);
+        }
+        expired
+    }
+
+    /// Cancels a sub-request.
+    pub fn cancel(&mut self, ticket: &Ticket) -> CancelResult {
+        if let Some((class, deadline)) = self.waiting.remove(ticket) {
+            if let Some(queue) = self.queues.get_mut(&class) {
+                queue.remove(&(deadline, *ticket));
+            }
+            return CancelResult::Dequeued;
+        }
+        if self.running.contains_key(ticket) {
+            return CancelResult::Running;
+        }
+        CancelResult::Unknown
+    }
+
+    /// Closes the gate to new work and returns what waited; what runs finishes.
+    pub fn close(&mut self) -> Vec<Ticket> {
+        self.closed = true;
+        self.queues.clear();
+        std::mem::take(&mut self.waiting).into_keys().collect()
+    }
+
+    /// Opens the gate again.
+    pub fn reopen(&mut self) {
+        self.closed = false;
+    }
+
+    /// Returns how many sub-requests run.
+    pub fn running_len(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Returns how many sub-requests wait.
+    pub fn waiting_len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    fn has_free_slot(&self) -> bool {
+        self.running.len() < self.limits.slots as usize
+    }
+
+    fn start(&mut self, ticket: Ticket, now: Instant) {
+        self.running.insert(ticket, now);
+        self.starts = self.starts.wrapping_add(1);
+    }
+
+    fn next_class(&self) -> Option<QueryClass> {
+        let waiting = |class: &QueryClass| self.queues.get(class).is_some_and(|q| !q.is_empty());
+        if self.starts % FAIR_TURN == FAIR_TURN - 1 {
+            return QueryClass::BY_PRIORITY.into_iter().rev().find(waiting);
+        }
+        QueryClass::BY_PRIORITY.into_iter().find(waiting)
+    }
+
+    /// Estimates the wait of `item` from those that go before it.
+    fn expected_wait(&self, item: &Waiting) -> Duration {
+        let urgent = QueryClass::BY_PRIORITY.into_iter().take_while(|class| *class != item.class);
+        let ahead_by_class: usize =
+            urgent.filter_map(|class| self.queues.get(&class)).map(BTreeSet::len).sum();
+        let key = (item.deadline, item.ticket);
+        let ahead_in_class =
+            self.queues.get(&item.class).map_or(0, |queue| queue.range(..key).count());
+        let ahead = u32::try_from(ahead_by_class + ahead_in_class + 1).unwrap_or(u32::MAX);
+        self.service_average.saturating_mul(ahead) / self.limits.slots.max(1)
+    }
+}
--- /dev/null
+++ b/crates/papayastack/src/dispatch/tests.rs
@@ -0,0 +1,136 @@
+//! Tests of the gate.
+
+use std::time::{Duration, Instant};
+
+use super::*;
+use crate::settings::QueryClass;
+
+fn ticket(attempt: u64) -> Ticket {
+    Ticket { source: 0, query: 1, attempt }
+}
+
+fn waiting(attempt: u64, class: QueryClass, deadline: Instant) -> Waiting {
+    Waiting { ticket: ticket(attempt), class, deadline }
+}
+
+fn gate(slots: u32, queue_max: u32) -> Gate {
+    Gate::new(GateLimits { slots, queue_max })
+}
+
+#[test]
+fn slots_are_never_exceeded_and_the_queue_is_bounded() {
+    let now = Instant::now();
+    let later = now + Duration::from_secs(1);
+    let mut gate = gate(2, 1);
+
+    let results: Vec<OfferResult> =
+        (0..4).map(|id| gate.offer(waiting(id, QueryClass::Sweep, later), now)).collect();
+
+    use OfferResult::{QueueFull, Queued, Start};
+    assert_eq!(results, [Start, Start, Queued, QueueFull]);
+    assert_eq!(gate.start_next(now), None);
+    assert!(gate.finish(&ticket(0), now));
+    assert_eq!(gate.start_next(now), Some(ticket(2)));
+    assert_eq!(gate.running_len(), 2);
+}
+
+#[test]
+fn the_earliest_deadline_of_the_most_urgent_class_goes_first() {
+    let now = Instant::now();
+    let at = |ms| now + Duration::from_millis(ms);
+    let mut gate = gate(1, 10);
+    gate.offer(waiting(0, QueryClass::Sweep, at(1000)), now);
+    gate.offer(waiting(1, QueryClass::Archive, at(100)), now);
+    gate.offer(waiting(2, QueryClass::Sweep, at(900)), now);
+    gate.offer(waiting(3, QueryClass::Sweep, at(800)), now);
+    gate.offer(waiting(4, QueryClass::Lookup, at(950)), now);
+
+    let mut order = Vec::new();
+    let mut running = ticket(0);
+    while gate.finish(&running, now) {
+        let Some(next) = gate.start_next(now) else { break };
+        order.push(next.attempt);
+        running = next;
+    }
+
+    assert_eq!(order, [4, 3, 2, 1]);
+}
+
+#[test]
+fn archive_is_not_starved_by_a_lasting_flood_of_lookups() {
+    let now = Instant::now();
+    let later = now + Duration::from_secs(10);
+    let mut gate = gate(1, 1000);
+    gate.offer(waiting(0, QueryClass::Lookup, later), now);
+    gate.offer(waiting(1, QueryClass::Archive, later), now);
+    let mut running = ticket(0);
+    let mut starts = 0;
+
+    for id in 2..1000 {
+        gate.offer(waiting(id, QueryClass::Lookup, later), now);
+        gate.finish(&running, now);
+        running = gate.start_next(now).unwrap();
+        starts += 1;
+        if running == ticket(1) {
+            break;
+        }
+    }
+
+    assert!(starts <= 8, "archive started after {starts} others");
+}
+
+#[test]
+fn a_request_that_cannot_make_it_is_refused_at_once() {
+    let now = Instant::now();
+    let mut gate = gate(1, 100);
+    gate.offer(waiting(0, QueryClass::Sweep, now + Duration::from_secs(1)), now);
+    let after = now + Duration::from_millis(50);
+    gate.finish(&ticket(0), after);
+    gate.offer(waiting(1, QueryClass::Sweep, after + Duration::from_secs(1)), after);
+
+    let short = gate.offer(waiting(2, QueryClass::Sweep, after + Duration::from_millis(30)), after);
+    let long = gate.offer(waiting(3, QueryClass::Sweep, after + Duration::from_millis(80)), after);
+
+    assert_eq!(short, OfferResult::WouldMissDeadline);
+    assert_eq!(long, OfferResult::Queued);
+}
+
+#[test]
+fn cancelling_frees_the_queue_place_but_not_a_running_slot() {
+    let now = Instant::now();
+    let later = now + Duration::from_secs(1);
+    let mut gate = gate(1, 10);
+    gate.offer(waiting(0, QueryClass::Sweep, later), now);
+    gate.offer(waiting(1, QueryClass::Sweep, later), now);
+
+    assert_eq!(gate.cancel(&ticket(0)), CancelResult::Running);
+    assert_eq!(gate.cancel(&ticket(1)), CancelResult::Dequeued);
+    assert_eq!(gate.cancel(&ticket(1)), CancelResult::Unknown);
+    assert_eq!((gate.running_len(), gate.waiting_len()), (1, 0));
+}
+
+#[test]
+fn closing_returns_what_waited_and_lets_the_rest_finish() {
+    let now = Instant::now();
+    let later = now + Duration::from_secs(1);
+    let mut gate = gate(1, 10);
+    gate.offer(waiting(0, QueryClass::Sweep, later), now);
+    gate.offer(waiting(1, QueryClass::Sweep, later), now);
+
+    assert_eq!(gate.close(), [ticket(1)]);
+    assert_eq!(gate.offer(waiting(2, QueryClass::Sweep, later), now), OfferResult::Closed);
+    assert!(gate.finish(&ticket(0), now));
+    assert_eq!(gate.start_next(now), None);
+}
+
+#[test]
+fn waiting_requests_expire_at_their_deadline() {
+    let now = Instant::now();
+    let mut gate = gate(1, 10);
+    gate.offer(waiting(0, QueryClass::Sweep, now + Duration::from_secs(1)), now);
+    gate.offer(waiting(1, QueryClass::Sweep, now + Duration::from_millis(10)), now);
+
+    assert!(gate.expire(now).is_empty());
+    assert_eq!(gate.expire(now + Duration::from_millis(10)), [ticket(1)]);
+    assert_eq!(gate.waiting_len(), 0);
+}
--- a/crates/papayastack/src/lib.rs
+++ b/crates/papayastack/src/lib.rs
@@ -11,25 +11,33 @@
 //! | `catalogue` | snapshots and shard maps |
 //! | `configuration` | the accepted bundle and what is in force |
 //! | `membership` | which VMs are live |
+//! | `routing` | owners of upstreams, the directory that a query pins |
+//! | `query` | the decisions of a fan-out |
 //! | `upstream` | the upstreams' protocol and client |
 //! | `caller` | the callers' protocol |
 
 mod caller;
 mod catalogue;
 mod configuration;
+mod dispatch;
 mod ids;
 mod membership;
 mod outcome;
 mod platform;
+mod query;
+mod routing;
 mod settings;
 mod upstream;
 
 pub use caller::*;
 pub use catalogue::*;
 pub use configuration::*;
+pub use dispatch::*;
 pub use ids::*;
 pub use membership::*;
 pub use outcome::*;
 pub use platform::*;
+pub use query::*;
+pub use routing::*;
 pub use settings::*;
 pub use upstream::*;
--- /dev/null
+++ b/crates/papayastack/src/query/attempt.rs
@@ -0,0 +1,78 @@
+//! What became of one attempt to answer one shard.
+
+use papayastack_macros::{closed_set, message};
+
+use crate::outcome::{MissingReason, Partial};
+
+/// What became of an attempt.
+#[message]
+#[serde(rename_all = "snake_case")]
+pub enum AttemptOutcome {
+    /// The shard was searched.
+    Answered(Partial),
+    /// The attempt did not run.
+    NotRun(NotRunReason),
+    /// The attempt may have run but gave no answer.
+    Failed(FailureReason),
+}
+
+/// Says why an attempt did not run.
+#[closed_set]
+pub enum NotRunReason {
+    /// The upstream had no free slot.
+    Shed,
+    /// The upstream is leaving.
+    Draining,
+    /// The queue for the upstream is full.
+    QueueFull,
+    /// The queue for the upstream is too long for the deadline.
+    WouldMissDeadline,
+    /// The upstream no longer holds the snapshot.
+    SnapshotRetired,
+    /// The upstream does not hold the shard.
+    WrongShard,
+    /// No connection to the upstream could be made.
+    ConnectFailed,
+    /// The VM asked does not know the upstream.
+    UnknownUpstream,
+    /// Cancelled while it waited.
+    Cancelled,
+}
+
+/// Says why an attempt gave no answer.
+#[closed_set]
+pub enum FailureReason {
+    /// The connection broke before the answer.
+    AnswerLost,
+    /// The answer could not be read or belongs to another request.
+    Malformed,
+    /// The deadline passed.
+    DeadlineExceeded,
+    /// Cancelled while it ran.
+    Cancelled,
+    /// The link to the owner broke.
+    OwnerLost,
+}
+
+impl AttemptOutcome {
+    /// Returns the reason that a shard is missing if this was its last attempt.
+    pub(crate) fn missing_reason(&self) -> MissingReason {
+        match self {
+            Self::Answered(_) => MissingReason::DeadlineExceeded,
+            Self::NotRun(reason) => match reason {
+                NotRunReason::Shed | NotRunReason::QueueFull | NotRunReason::WouldMissDeadline => {
+                    MissingReason::Overloaded
+                }
+                NotRunReason::SnapshotRetired => MissingReason::SnapshotRetired,
+                NotRunReason::Cancelled => MissingReason::Cancelled,
+                NotRunReason::Draining
+                | NotRunReason::WrongShard
+                | NotRunReason::ConnectFailed
+                | NotRunReason::UnknownUpstream => MissingReason::ReplicasUnavailable,
+            },
+            Self::Failed(FailureReason::DeadlineExceeded) => MissingReason::DeadlineExceeded,
+            Self::Failed(FailureReason::Cancelled) => MissingReason::Cancelled,
+            Self::Failed(_) => MissingReason::ReplicasUnavailable,
+        }
+    }
+}
--- /dev/null
+++ b/crates/papayastack/src/query/health.rs
@@ -0,0 +1,222 @@
+//! What a VM has observed of each upstream, and the choice among replicas that follows.
+
+use std::time::{Duration, Instant};
+
+use rand::Rng;
+
+use super::attempt::{AttemptOutcome, FailureReason, NotRunReason};
+use crate::routing::UpstreamIndex;
+
+/// The weight of a new latency sample, as one part in this many.
+const LATENCY_WINDOW: u32 = 8;
+/// Consecutive failures after which an upstream is ejected.
+const FAILURES_TO_EJECT: u32 = 3;
+/// How long a shed keeps new work away where another replica can take it.
+const SHED_PAUSE: Duration = Duration::from_millis(10);
+/// How long the word that an upstream is leaving counts.
+const LEAVING_HOLD: Duration = Duration::from_secs(30);
+/// How long a queue length reported by an owner counts.
+const QUEUE_HINT_HOLD: Duration = Duration::from_millis(200);
+/// Answers after which an upstream that was new or ejected counts as warm.
+const WARM_ANSWERS: u32 = 16;
+/// The factor by which a cold upstream is made less attractive at first.
+const COLD_FACTOR: u64 = 4;
+/// The latency assumed before the first sample.
+const LATENCY_INITIAL: Duration = Duration::from_millis(5);
+
+/// Observations of all upstreams, by number.
+#[derive(Debug, Default)]
+pub struct Observations {
+    records: Vec<Record>,
+}
+
+#[derive(Debug, Clone)]
+struct Record {
+    in_flight: u32,
+    latency_us: u64,
+    answers: u32,
+    consecutive_failures: u32,
+    ejected_until: Option<Instant>,
+    shed_until: Option<Instant>,
+    leaving_until: Option<Instant>,
+    queue_hint: u32,
+    queue_hint_until: Option<Instant>,
+}
+
+impl Observations {
+    /// Starts without observations.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Chooses a replica by position, passing over those in the bit mask `tried`.
+    ///
+    /// Ejected replicas are used only where no other is left, so that ejection never empties a
+    /// shard; leaving replicas are never used. `None` where no replica may be asked.
+    pub fn choose(
+        &self,
+        replicas: &[UpstreamIndex],
+        tried: u64,
+        now: Instant,
+        random: &mut impl Rng,
+    ) -> Option<usize> {
+        let untried = |position: &usize| *position < 64 && tried & (1 << position) == 0;
+        let not_leaving = |position: &usize| !self.is_leaving(replicas[*position], now);
+        let mut best = None;
+        let usable = (0..replicas.len()).filter(untried).filter(not_leaving);
+        for position in usable {
+            let (rank, load) = self.rank(replicas[position], now);
+            // Random weights between 1 and 2 keep several VMs from choosing alike.
+            let weighted = load.saturating_mul(u64::from(random.random_range(1024..2048_u32)));
+            if best.is_none_or(|(best_key, _)| (rank, weighted) < best_key) {
+                best = Some(((rank, weighted), position));
+            }
+        }
+        best.map(|(_, position)| position)
+    }
+
+    /// Records that an attempt was sent.
+    pub fn sent(&mut self, upstream: UpstreamIndex) {
+        self.record(upstream).in_flight += 1;
+    }
+
+    /// Records what became of an attempt.
+    pub fn finished(
+        &mut self,
+        upstream: UpstreamIndex,
+        outcome: &AttemptOutcome,
+        latency: Duration,
+        ejection: Duration,
+        now: Instant,
+    ) {
+        let record = self.record(upstream);
+        record.in_flight = record.in_flight.saturating_sub(1);
+        match outcome {
+            AttemptOutcome::Answered(_) => record.answered(latency),
+            AttemptOutcome::NotRun(reason) => match reason {
+                NotRunReason::Shed | NotRunReason::QueueFull | NotRunReason::WouldMissDeadline => {
+                    record.shed_until = Some(now + SHED_PAUSE);
+                }
+                NotRunReason::Draining => record.leaving_until = Some(now + LEAVING_HOLD),
+                NotRunReason::ConnectFailed => record.failed(now, ejection),
+                NotRunReason::SnapshotRetired
+                | NotRunReason::WrongShard
+                | NotRunReason::UnknownUpstream
+                | NotRunReason::Cancelled => {}
+            },
+            AttemptOutcome::Failed(reason) => match reason {
+                FailureReason::AnswerLost | FailureReason::Malformed => {
+                    record.failed(now, ejection);
+                }
+                // A timeout may be the deadline's fault; the latency already counts against it.
+                FailureReason::DeadlineExceeded => record.slow(latency),
+                FailureReason::Cancelled => record.slow(latency),
+                FailureReason::OwnerLost => {}
+            },
+        }
+    }
+
+    /// Records the queue length that an owner reported; it counts for a short while only.
+    pub fn queue_hint(&mut self, upstream: UpstreamIndex, queue_len: u32, now: Instant) {
+        let record = self.record(upstream);
+        record.queue_hint = queue_len;
+        record.queue_hint_until = Some(now + QUEUE_HINT_HOLD);
+    }
+
+    /// Records that an upstream is leaving, by its own, a peer's or the platform's word.
+    pub fn leaving(&mut self, upstream: UpstreamIndex, now: Instant) {
+        self.record(upstream).leaving_until = Some(now + LEAVING_HOLD);
+    }
+
+    /// Tells whether an upstream is known to be leaving.
+    pub fn is_leaving(&self, upstream: UpstreamIndex, now: Instant) -> bool {
+        self.records
+            .get(upstream as usize)
+            .is_some_and(|record| in_future(record.leaving_until, now))
+    }
+
+    /// Tells whether an upstream is ejected.
+    pub fn is_ejected(&self, upstream: UpstreamIndex, now: Instant) -> bool {
+        self.records
+            .get(upstream as usize)
+            .is_some_and(|record| in_future(record.ejected_until, now))
+    }
+
+    /// Ranks a replica: usable ones first, then by expected work ahead in microseconds.
+    fn rank(&self, upstream: UpstreamIndex, now: Instant) -> (u8, u64) {
+        let Some(record) = self.records.get(upstream as usize) else {
+            return (0, to_us(LATENCY_INITIAL));
+        };
+        let rank = match (in_future(record.ejected_until, now), in_future(record.shed_until, now)) {
+            (false, false) => 0,
+            (false, true) => 1,
+            (true, _) => 2,
+        };
+        (rank, record.load(now))
+    }
+
+    fn record(&mut self, upstream: UpstreamIndex) -> &mut Record {
+        let position = upstream as usize;
+        if self.records.len() <= position {
+            self.records.resize(position + 1, Record::new());
+        }
+        &mut self.records[position]
+    }
+}
+
+impl Record {
+    fn new() -> Self {
+        Self {
+            in_flight: 0,
+            latency_us: to_us(LATENCY_INITIAL),
+            answers: 0,
+            consecutive_failures: 0,
+            ejected_until: None,
+            shed_until: None,
+            leaving_until: None,
+            queue_hint: 0,
+            queue_hint_until: None,
+        }
+    }
+
+    fn load(&self, now: Instant) -> u64 {
+        let hint = if in_future(self.queue_hint_until, now) { self.queue_hint } else { 0 };
+        let ahead = u64::from(self.in_flight) + u64::from(hint) + 1;
+        let cold = if self.answers < WARM_ANSWERS && self.in_flight > 0 { COLD_FACTOR } else { 1 };
+        ahead * self.latency_us.max(1) * cold
+    }
+
+    fn answered(&mut self, latency: Duration) {
+        self.answers = self.answers.saturating_add(1);
+        self.consecutive_failures = 0;
+        self.ejected_until = None;
+        self.average(latency);
+    }
+
+    fn slow(&mut self, latency: Duration) {
+        if to_us(latency) > self.latency_us {
+            self.average(latency);
+        }
+    }
+
+    fn average(&mut self, latency: Duration) {
+        let window = u64::from(LATENCY_WINDOW);
+        self.latency_us = (self.latency_us * (window - 1) + to_us(latency)) / window;
+    }
+
+    fn failed(&mut self, now: Instant, ejection: Duration) {
+        self.consecutive_failures += 1;
+        if self.consecutive_failures >= FAILURES_TO_EJECT {
+            self.ejected_until = Some(now + ejection);
+            self.answers = 0;
+        }
+    }
+}
+
+fn in_future(moment: Option<Instant>, now: Instant) -> bool {
+    moment.is_some_and(|moment| moment > now)
+}
+
+fn to_us(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/papayastack/src/query/quantile.rs
@@ -0,0 +1,56 @@
+//! A streaming estimate of one quantile in constant memory.
+
+use std::time::Duration;
+
+/// Follows one quantile of a stream of durations.
+///
+/// Each sample above the estimate raises it by a step weighted with the quantile, each sample
+/// below lowers it by a step weighted with the rest; the estimate settles where both balance.
+#[derive(Debug, Clone)]
+pub struct QuantileTracker {
+    estimate_us: f64,
+    samples: u64,
+}
+
+/// The step relative to the estimate once the tracker has settled.
+const STEP_SHARE: f64 = 0.05;
+/// Samples before the estimate is trusted.
+const SAMPLES_MIN: u64 = 16;
+/// The smallest step in microseconds, so that an estimate near zero can rise.
+const STEP_MIN_US: f64 = 1.0;
+
+impl QuantileTracker {
+    /// Starts without samples.
+    pub fn new() -> Self {
+        Self { estimate_us: 0.0, samples: 0 }
+    }
+
+    /// Takes one sample, following the quantile given in thousandths.
+    pub fn record(&mut self, sample: Duration, quantile_permille: u32) {
+        let sample_us = sample.as_secs_f64() * 1e6;
+        let quantile = f64::from(quantile_permille) / 1000.0;
+        self.samples += 1;
+        if self.samples == 1 {
+            self.estimate_us = sample_us;
+            return;
+        }
+        let step_us = (self.estimate_us * STEP_SHARE).max(STEP_MIN_US);
+        if sample_us > self.estimate_us {
+            self.estimate_us += step_us * quantile;
+        } else {
+            self.estimate_us -= step_us * (1.0 - quantile);
+        }
+    }
+
+    /// Returns the estimate; `None` until enough samples came.
+    pub fn estimate(&self) -> Option<Duration> {
+        (self.samples >= SAMPLES_MIN)
+            .then(|| Duration::from_secs_f64(self.estimate_us.max(0.0) / 1e6))
+    }
+}
+
+impl Default for QuantileTracker {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/papayastack/src/query/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of the fan-out.
