Add links between VMs

Cause: owners are reached over long-lived links. Ruled out: a heartbeat on every idle link, which at 1,000 links a VM would break the control budget of 12 KB/s; a link is probed only while replies are outstanding. Change: WebSocket links with CBOR frames that gather what is ready, bounded frames and queues, dialling on demand, loss and silence reported as events. Conclusion: a lost or frozen peer is seen from the link itself.

--- /dev/null
+++ b/crates/papayastack/src/link/codec.rs
@@ -0,0 +1,62 @@
+//! Frames of messages in CBOR, bounded in size both ways.
+
+use papayastack_macros::value;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// The largest frame in bytes.
+pub const FRAME_MAX_BYTES: usize = 8 * 1024 * 1024;
+
+/// Says why a frame cannot be encoded or decoded.
+#[value]
+pub enum FrameError {
+    /// The frame is larger than [`FRAME_MAX_BYTES`].
+    TooLarge {
+        /// The size in bytes.
+        size_bytes: usize,
+    },
+    /// The frame is not what the protocol says.
+    Malformed {
+        /// The codec's explanation.
+        detail: String,
+    },
+}
+
+impl std::fmt::Display for FrameError {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::TooLarge { size_bytes } => {
+                write!(formatter, "frame of {size_bytes} bytes, {FRAME_MAX_BYTES} are allowed")
+            }
+            Self::Malformed { detail } => write!(formatter, "malformed frame: {detail}"),
+        }
+    }
+}
+
+impl std::error::Error for FrameError {}
+
+/// Encodes messages as one frame.
+///
+/// # Errors
+/// A frame above [`FRAME_MAX_BYTES`].
+pub fn encode_frame<M: Serialize>(messages: &[M]) -> Result<Vec<u8>, FrameError> {
+    let mut bytes = Vec::with_capacity(256);
+    ciborium::into_writer(messages, &mut bytes)
+        .map_err(|error| FrameError::Malformed { detail: error.to_string() })?;
+    if bytes.len() > FRAME_MAX_BYTES {
+        return Err(FrameError::TooLarge { size_bytes: bytes.len() });
+    }
+    Ok(bytes)
+}
+
+/// Decodes one frame.
+///
+/// # Errors
+/// A frame above [`FRAME_MAX_BYTES`], or one that is not a list of messages.
+pub fn decode_frame<M: DeserializeOwned>(bytes: &[u8]) -> Result<Vec<M>, FrameError> {
+    if bytes.len() > FRAME_MAX_BYTES {
+        return Err(FrameError::TooLarge { size_bytes: bytes.len() });
+    }
+    ciborium::from_reader(bytes)
+        .map_err(|error| FrameError::Malformed { detail: error.to_string() })
+}
--- /dev/null
+++ b/crates/papayastack/src/link/hub.rs
@@ -0,0 +1,233 @@
+//! All links of one VM: dialling on demand, accepting, routing of replies.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
+
+use super::connection::{LinkEnd, run_link, websocket_config};
+use super::message::{LinkReply, LinkRequest};
+use crate::ids::VmAddress;
+
+/// Numbers an accepted link within one process; zero is this VM itself.
+pub type SourceId = u64;
+
+/// Messages that may wait for one link.
+const LINK_QUEUE_MAX: usize = 16_384;
+/// The longest time that dialling may take.
+const DIAL_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long a peer whose link failed is passed over.
+const DOWN_HOLD: Duration = Duration::from_millis(500);
+
+/// What happens on the links.
+#[derive(Debug)]
+pub enum LinkEvent {
+    /// A request arrived on an accepted link.
+    Request {
+        /// The link.
+        source: SourceId,
+        /// The request.
+        request: LinkRequest,
+    },
+    /// A reply arrived on a dialled link.
+    Reply {
+        /// The peer.
+        from: VmAddress,
+        /// The reply.
+        reply: LinkReply,
+    },
+    /// A dialled link ended or could not be made.
+    Down {
+        /// The peer.
+        peer: VmAddress,
+    },
+    /// An accepted link ended; nobody waits for its replies.
+    SourceGone {
+        /// The link.
+        source: SourceId,
+    },
+}
+
+/// The links of one VM.
+#[derive(Clone)]
+pub struct LinkHub {
+    inner: Arc<Inner>,
+}
+
+struct Inner {
+    events: mpsc::UnboundedSender<LinkEvent>,
+    state: Mutex<State>,
+    next_source: AtomicU64,
+    accepting: Mutex<Option<JoinHandle<()>>>,
+}
+
+#[derive(Default)]
+struct State {
+    dialled: BTreeMap<VmAddress, Dialled>,
+    accepted: BTreeMap<SourceId, mpsc::Sender<LinkReply>>,
+    down_until: BTreeMap<VmAddress, Instant>,
+}
+
+struct Dialled {
+    sender: mpsc::Sender<LinkRequest>,
+    serial: u64,
+}
+
+impl LinkHub {
+    /// Accepts links on `listener`; what happens on them arrives at the returned receiver.
+    pub fn bind(listener: TcpListener) -> (Self, mpsc::UnboundedReceiver<LinkEvent>) {
+        let (events, received) = mpsc::unbounded_channel();
+        let inner = Arc::new(Inner {
+            events,
+            state: Mutex::new(State::default()),
+            next_source: AtomicU64::new(1),
+            accepting: Mutex::new(None),
+        });
+        let task = tokio::spawn(accept_links(Arc::downgrade(&inner), listener));
+        *lock(&inner.accepting) = Some(task);
+        (Self { inner }, received)
+    }
+
+    /// Queues a request for `peer`, dialling where no link is up; `false` where the queue is full.
+    pub fn send(&self, peer: VmAddress, request: LinkRequest) -> bool {
+        let mut state = lock(&self.inner.state);
+        let dialled = state.dialled.entry(peer).or_insert_with(|| self.dial(peer));
+        dialled.sender.try_send(request).is_ok()
+    }
+
+    /// Queues a reply on an accepted link; `false` where the link is gone or its queue full.
+    pub fn reply(&self, source: SourceId, reply: LinkReply) -> bool {
+        let state = lock(&self.inner.state);
+        state.accepted.get(&source).is_some_and(|sender| sender.try_send(reply).is_ok())
+    }
+
+    /// Tells whether the last link to `peer` failed a short while ago.
+    pub fn is_down(&self, peer: &VmAddress, now: Instant) -> bool {
+        lock(&self.inner.state).down_until.get(peer).is_some_and(|until| *until > now)
+    }
+
+    /// Cuts the dialled link to a peer that is known to be gone.
+    pub fn cut(&self, peer: &VmAddress) {
+        lock(&self.inner.state).dialled.remove(peer);
+    }
+
+    /// Returns how many links are up or being dialled, and how many are accepted.
+    pub fn len(&self) -> (usize, usize) {
+        let state = lock(&self.inner.state);
+        (state.dialled.len(), state.accepted.len())
+    }
+
+    /// Stops accepting and closes all links once their queues are written.
+    pub fn close(&self) {
+        if let Some(task) = lock(&self.inner.accepting).take() {
+            task.abort();
+        }
+        let mut state = lock(&self.inner.state);
+        state.dialled.clear();
+        state.accepted.clear();
+    }
+
+    fn dial(&self, peer: VmAddress) -> Dialled {
+        let (sender, outgoing) = mpsc::channel(LINK_QUEUE_MAX);
+        let serial = self.inner.next_source.fetch_add(1, Ordering::Relaxed);
+        let inner = Arc::clone(&self.inner);
+        tokio::spawn(async move {
+            let end = run_dialled(&inner, peer, outgoing).await;
+            inner.dialled_ended(peer, serial, end);
+        });
+        Dialled { sender, serial }
+    }
+}
+
+impl Inner {
+    fn dialled_ended(&self, peer: VmAddress, serial: u64, end: LinkEnd) {
+        log::info!(target: "papaya::link", "Link to {peer} ended: {end:?}.");
+        let mut state = lock(&self.state);
+        if state.dialled.get(&peer).is_some_and(|dialled| dialled.serial == serial) {
+            state.dialled.remove(&peer);
+        }
+        if end != LinkEnd::ClosedHere {
+            state.down_until.insert(peer, Instant::now() + DOWN_HOLD);
+        }
+        drop(state);
+        let _ = self.events.send(LinkEvent::Down { peer });
+    }
+}
+
+async fn run_dialled(
+    inner: &Inner,
+    peer: VmAddress,
+    outgoing: mpsc::Receiver<LinkRequest>,
+) -> LinkEnd {
+    let Ok(Some(socket)) = timeout(DIAL_TIMEOUT, connect(peer)).await else {
+        return LinkEnd::ClosedThere;
+    };
+    lock(&inner.state).down_until.remove(&peer);
+    run_link(socket, outgoing, LinkRequest::replies_expected, |reply: LinkReply| {
+        let _ = inner.events.send(LinkEvent::Reply { from: peer, reply });
+        1
+    })
+    .await
+}
+
+async fn connect(peer: VmAddress) -> Option<tokio_tungstenite::WebSocketStream<TcpStream>> {
+    let stream = TcpStream::connect(peer).await.ok()?;
+    stream.set_nodelay(true).ok()?;
+    let url = format!("ws://{peer}/link");
+    let config = Some(websocket_config());
+    let (socket, _) =
+        tokio_tungstenite::client_async_with_config(url, stream, config).await.ok()?;
+    Some(socket)
+}
+
+async fn accept_links(inner: std::sync::Weak<Inner>, listener: TcpListener) {
+    loop {
+        let accepted = listener.accept().await;
+        let Some(inner) = inner.upgrade() else {
+            return;
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                tokio::spawn(run_accepted(inner, stream));
+            }
+            Err(error) => {
+                log::warn!(target: "papaya::link", "Cannot accept a link: {error}.");
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
+
+async fn run_accepted(inner: Arc<Inner>, stream: TcpStream) {
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let handshake = tokio_tungstenite::accept_async_with_config(stream, Some(websocket_config()));
+    let Ok(Ok(socket)) = timeout(DIAL_TIMEOUT, handshake).await else {
+        return;
+    };
+    let source = inner.next_source.fetch_add(1, Ordering::Relaxed);
+    let (sender, outgoing) = mpsc::channel(LINK_QUEUE_MAX);
+    lock(&inner.state).accepted.insert(source, sender);
+    run_link(
+        socket,
+        outgoing,
+        |_: &LinkReply| 0,
+        |request: LinkRequest| {
+            let _ = inner.events.send(LinkEvent::Request { source, request });
+            0
+        },
+    )
+    .await;
+    lock(&inner.state).accepted.remove(&source);
+    let _ = inner.events.send(LinkEvent::SourceGone { source });
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/papayastack/src/link/mod.rs
@@ -0,0 +1,15 @@
+//! Links: long-lived WebSocket connections between VMs that carry CBOR messages.
+//!
+//! The VM that dials sends requests and receives replies; two VMs that work for each other hold a
+//! link in each direction. All messages that are ready travel in one frame.
+
+mod codec;
+mod connection;
+mod hub;
+mod message;
+#[cfg(test)]
+mod tests;
+
+pub use codec::{FRAME_MAX_BYTES, FrameError, decode_frame, encode_frame};
+pub use hub::{LinkEvent, LinkHub, SourceId};
+pub use message::{LinkReply, LinkRequest, SearchBatch, SearchItem, SearchResult};
--- /dev/null
+++ b/crates/papayastack/src/link/tests.rs
@@ -0,0 +1,58 @@
+//! Tests of frames and links.
+
+use proptest::prelude::*;
+use tokio::net::TcpListener;
+
+use super::*;
+
+fn cancel(query: u128) -> LinkRequest {
+    LinkRequest::Cancel { query, attempts: vec![1, 2] }
+}
+
+#[test]
+fn frames_survive_the_round_trip() {
+    let messages = vec![cancel(1), cancel(u128::MAX)];
+
+    let bytes = encode_frame(&messages).unwrap();
+
+    assert_eq!(decode_frame::<LinkRequest>(&bytes).unwrap(), messages);
+}
+
+#[test]
+fn an_oversize_frame_is_refused_before_it_is_decoded() {
+    let bytes = vec![0_u8; FRAME_MAX_BYTES + 1];
+
+    let decoded = decode_frame::<LinkRequest>(&bytes);
+
+    assert_eq!(decoded, Err(FrameError::TooLarge { size_bytes: FRAME_MAX_BYTES + 1 }));
+}
+
+proptest! {
+    #[test]
+    fn arbitrary_bytes_never_panic(bytes in proptest::collection::vec(any::<u8>(), 0..512)) {
+        let _ = decode_frame::<LinkRequest>(&bytes);
+        let _ = decode_frame::<LinkReply>(&bytes);
+    }
+}
+
+#[tokio::test]
+async fn a_request_reaches_the_peer_and_a_lost_peer_is_reported() {
+    let (dialler, mut dialler_events) = open_hub().await.0;
+    let ((accepter, mut accepter_events), address) = open_hub().await;
+
+    assert!(dialler.send(address, cancel(7)));
+    let received = accepter_events.recv().await.unwrap();
+    accepter.close();
+    let ended = dialler_events.recv().await.unwrap();
+
+    assert!(matches!(received, LinkEvent::Request { request, .. } if request == cancel(7)));
+    assert!(matches!(ended, LinkEvent::Down { peer } if peer == address));
+}
+
+type Hub = (LinkHub, tokio::sync::mpsc::UnboundedReceiver<LinkEvent>);
+
+async fn open_hub() -> (Hub, std::net::SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    (LinkHub::bind(listener), address)
+}
