Render and check the settings of a site

Base and overlay merge as a JSON merge patch; serde_path_to_error gives the place of a fault, and a value of the right kind takes the place of a wrong one so that parsing goes on to the next fault. One table holds kind, unit, range and meaning of every setting; checks and the reference page read it, and tests hold it equal to the schema in both directions.

Contract change: the classes are read by name with each class's own defaults. Every class is now present after rendering.

Ruled out: accepting sequences for sections, which serde does silently for structs with defaults.

--- /dev/null
+++ b/crates/papayastack/src/settings/check.rs
@@ -0,0 +1,168 @@
+//! Checks of parsed settings: ranges, and references between settings.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use serde_json::Value;
+
+use super::fault::Finding;
+use super::nearest::nearest_name;
+use super::pointer;
+use super::reference::{Kind, quoted, setting_at};
+use super::schema::{ClassSettings, QueryClass, Settings};
+use crate::ids::{DataCentreName, UpstreamId};
+
+/// Names listed in a hint.
+const NAMES_IN_HINT_MAX: usize = 8;
+
+/// Finds numbers outside their range and empty names.
+pub(crate) fn check_ranges(document: &Value) -> Vec<Finding> {
+    let mut findings = Vec::new();
+    visit(document, "", &mut findings);
+    findings
+}
+
+/// Finds references to what does not exist and settings that contradict each other.
+pub(crate) fn check_relations(settings: &Settings) -> Vec<Finding> {
+    let mut findings = Vec::new();
+    check_presence(settings, &mut findings);
+    check_upstreams(settings, &mut findings);
+    for (class, treatment) in &settings.classes {
+        check_class(*class, treatment, &mut findings);
+    }
+    check_times(settings, &mut findings);
+    findings
+}
+
+fn visit(value: &Value, path: &str, findings: &mut Vec<Finding>) {
+    let Some(setting) = setting_at(path) else { return };
+    match (value, setting.kind) {
+        (Value::Object(members), Kind::Section | Kind::Named(_)) => {
+            for (key, member) in members {
+                let path = pointer::child(path, key);
+                if key.trim().is_empty() {
+                    findings.push(Finding::new(&path, "the name is empty", "write a name"));
+                }
+                visit(member, &path, findings);
+            }
+        }
+        (Value::Number(number), Kind::Number { min, max, .. }) => {
+            let in_range = number.as_u64().is_some_and(|number| (min..=max).contains(&number));
+            if !in_range {
+                let problem = format!("{number} is out of range");
+                let hint = format!("write {}", setting.expectation());
+                findings.push(Finding::new(path, problem, hint));
+            }
+        }
+        (Value::String(name), Kind::Name) if name.trim().is_empty() => {
+            findings.push(Finding::new(path, "the name is empty", "write a name"));
+        }
+        _ => {}
+    }
+}
+
+fn check_presence(settings: &Settings, findings: &mut Vec<Finding>) {
+    if settings.data_centres.is_empty() {
+        let hint = "name at least one data centre with its region";
+        findings.push(Finding::new("/data_centres", "there is no data centre", hint));
+    }
+    if settings.services.is_empty() {
+        let hint = "describe at least one service with its upstreams";
+        findings.push(Finding::new("/services", "there is no service", hint));
+    }
+    for (name, service) in &settings.services {
+        if service.upstreams.is_empty() {
+            let path = pointer::child(&pointer::child("/services", name), "upstreams");
+            let hint = "add an upstream or remove the service";
+            findings.push(Finding::new(path, "the service has no upstream", hint));
+        }
+    }
+}
+
+fn check_upstreams(settings: &Settings, findings: &mut Vec<Finding>) {
+    let mut paths: BTreeMap<SocketAddr, String> = BTreeMap::new();
+    let mut ids: BTreeMap<&UpstreamId, String> = BTreeMap::new();
+    for (service_name, service) in &settings.services {
+        let service_path = pointer::child("/services", service_name);
+        let upstreams_path = pointer::child(&service_path, "upstreams");
+        for (id, upstream) in &service.upstreams {
+            let path = pointer::child(&upstreams_path, id);
+            if !settings.data_centres.contains_key(&upstream.data_centre) {
+                findings.push(unknown_data_centre(settings, &path, &upstream.data_centre));
+            }
+            findings.extend(unusable_address(&path, upstream.address));
+            if let Some(other) = paths.insert(upstream.address, path.clone()) {
+                let problem = format!("{} is also the address of {other}", upstream.address);
+                let path = pointer::child(&path, "address");
+                findings.push(Finding::new(path, problem, "give each upstream its own address"));
+            }
+            if let Some(other) = ids.insert(id, path.clone()) {
+                let problem = format!("`{id}` is also the id of {other}");
+                findings.push(Finding::new(path, problem, "give each upstream its own id"));
+            }
+        }
+    }
+}
+
+fn unknown_data_centre(settings: &Settings, upstream: &str, name: &DataCentreName) -> Finding {
+    let known: Vec<&str> = settings.data_centres.keys().map(String::as_str).collect();
+    let hint = match nearest_name(name, known.iter().copied()) {
+        Some(nearest) => format!("did you mean `{nearest}`?"),
+        None => {
+            let listed = &known[..known.len().min(NAMES_IN_HINT_MAX)];
+            format!("add it to /data_centres or use one of {}", quoted(listed))
+        }
+    };
+    let path = pointer::child(upstream, "data_centre");
+    Finding::new(path, format!("the data centre `{name}` does not exist"), hint)
+}
+
+fn unusable_address(upstream: &str, address: SocketAddr) -> Option<Finding> {
+    let problem = if address.port() == 0 {
+        "the port is 0"
+    } else if address.ip().is_unspecified() || address.ip().is_multicast() {
+        "the address belongs to no single machine"
+    } else {
+        return None;
+    };
+    let path = pointer::child(upstream, "address");
+    Some(Finding::new(path, problem, "write the address that the upstream listens on"))
+}
+
+fn check_class(class: QueryClass, treatment: &ClassSettings, findings: &mut Vec<Finding>) {
+    if treatment.deadline_default_ms <= treatment.deadline_max_ms {
+        return;
+    }
+    let class_path = pointer::child("/classes", class.name());
+    let problem = format!(
+        "the default deadline of {} ms is longer than deadline_max_ms, {} ms",
+        treatment.deadline_default_ms, treatment.deadline_max_ms
+    );
+    let hint = "shorten deadline_default_ms or raise deadline_max_ms";
+    findings.push(Finding::new(pointer::child(&class_path, "deadline_default_ms"), problem, hint));
+}
+
+fn check_times(settings: &Settings, findings: &mut Vec<Finding>) {
+    let membership = &settings.membership;
+    let mut at_most = |path: &str, value: u64, limit_name: &str, limit: u64| {
+        if value > limit {
+            let problem = format!("{value} ms is longer than {limit_name}, {limit} ms");
+            let hint = format!("shorten it or raise {limit_name}");
+            findings.push(Finding::new(path, problem, hint));
+        }
+    };
+    at_most(
+        "/membership/probe_timeout_ms",
+        membership.probe_timeout_ms,
+        "probe_interval_ms",
+        membership.probe_interval_ms,
+    );
+    at_most(
+        "/membership/probe_interval_ms",
+        membership.probe_interval_ms,
+        "suspicion_ms",
+        membership.suspicion_ms,
+    );
+    let submissions = &settings.submissions;
+    at_most("/submissions/slot_ms", submissions.slot_ms, "retention_ms", submissions.retention_ms);
+}
--- /dev/null
+++ b/crates/papayastack/src/settings/fault.rs
@@ -0,0 +1,77 @@
+//! What is wrong with a configuration, and where.
+
+use std::fmt;
+
+use papayastack_macros::message;
+
+use crate::ids::SiteName;
+
+/// Names one file of a configuration.
+#[message]
+#[derive(PartialOrd, Ord)]
+#[serde(rename_all = "snake_case")]
+pub enum SettingsFile {
+    /// The base settings.
+    Base,
+    /// The overlay of a site.
+    Overlay(SiteName),
+}
+
+impl fmt::Display for SettingsFile {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Base => write!(formatter, "base"),
+            Self::Overlay(site) => write!(formatter, "overlay {site}"),
+        }
+    }
+}
+
+/// One thing that is wrong with a configuration.
+#[message]
+#[derive(PartialOrd, Ord)]
+pub struct Fault {
+    /// The file to change.
+    pub file: SettingsFile,
+    /// The place in the file as a JSON pointer; empty for the whole file.
+    pub path: String,
+    /// What is wrong.
+    pub problem: String,
+    /// The way out.
+    pub hint: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let place = if self.path.is_empty() { "the whole file" } else { &self.path };
+        write!(formatter, "{}: {place}: {}; {}", self.file, self.problem, self.hint)
+    }
+}
+
+impl std::error::Error for Fault {}
+
+/// A fault of merged settings, before it is known which file causes it.
+#[message]
+pub(crate) struct Finding {
+    /// The place in the merged settings as a JSON pointer.
+    pub path: String,
+    /// What is wrong.
+    pub problem: String,
+    /// The way out.
+    pub hint: String,
+}
+
+impl Finding {
+    /// Describes a fault at `path`.
+    pub(crate) fn new(
+        path: impl Into<String>,
+        problem: impl Into<String>,
+        hint: impl Into<String>,
+    ) -> Self {
+        Self { path: path.into(), problem: problem.into(), hint: hint.into() }
+    }
+
+    /// Blames `file` for the fault.
+    pub(crate) fn in_file(self, file: SettingsFile) -> Fault {
+        Fault { file, path: self.path, problem: self.problem, hint: self.hint }
+    }
+}
--- a/crates/papayastack/src/settings/mod.rs
+++ b/crates/papayastack/src/settings/mod.rs
@@ -1,9 +1,25 @@
 //! Settings: the system's configuration as every VM of a site sees it, and a VM's own settings.
 
+mod check;
+mod classes;
+mod fault;
 mod local;
+mod nearest;
+mod overlay;
+mod parse;
+mod pointer;
+mod reference;
+mod reference_page;
+mod render;
 mod schema;
+#[cfg(test)]
+mod tests;
 
+pub use fault::{Fault, SettingsFile};
 pub use local::LocalSettings;
+pub use nearest::nearest_name;
+pub use reference_page::settings_reference;
+pub use render::{check, render, render_document};
 pub use schema::{
     AddressSettings, ClassSettings, DataCentreSettings, LimitSettings, MembershipSettings,
     PlatformSettings, QueryClass, RoutingPolicy, RoutingSettings, ServiceSettings, Settings,
--- /dev/null
+++ b/crates/papayastack/src/settings/parse.rs
@@ -0,0 +1,134 @@
+//! Parsing of merged settings with every fault found, not only the first.
+
+use std::borrow::Cow;
+
+use serde_json::Value;
+use serde_path_to_error::{Error, Segment};
+
+use super::fault::Finding;
+use super::nearest::nearest_name;
+use super::pointer;
+use super::reference::{Kind, SETTINGS, Setting, setting_at};
+use super::schema::Settings;
+
+/// Faults after which parsing stops.
+const FINDINGS_MAX: usize = 100;
+
+/// Parses merged settings; after a fault, a right value takes its place and parsing goes on.
+pub(crate) fn parse(document: &Value) -> Result<Settings, Vec<Finding>> {
+    let mut document = Cow::Borrowed(document);
+    let mut findings = Vec::new();
+    for finding in misplaced_sections(&document) {
+        repair(document.to_mut(), &finding.path);
+        findings.push(finding);
+    }
+    while findings.len() < FINDINGS_MAX {
+        let error = match serde_path_to_error::deserialize::<_, Settings>(document.as_ref()) {
+            Ok(settings) if findings.is_empty() => return Ok(settings),
+            Ok(_) => break,
+            Err(error) => error,
+        };
+        let finding = describe(&error);
+        let repeated = findings.iter().any(|known: &Finding| known.path == finding.path);
+        repair(document.to_mut(), &finding.path);
+        if repeated {
+            break;
+        }
+        findings.push(finding);
+    }
+    Err(findings)
+}
+
+/// Finds sections that are not objects, which serde would partly accept as sequences.
+fn misplaced_sections(document: &Value) -> Vec<Finding> {
+    let mut findings = Vec::new();
+    visit_sections(document, "", &mut findings);
+    findings
+}
+
+fn visit_sections(value: &Value, path: &str, findings: &mut Vec<Finding>) {
+    let Some(setting) = setting_at(path) else { return };
+    if !matches!(setting.kind, Kind::Section | Kind::Named(_)) {
+        return;
+    }
+    let Value::Object(members) = value else {
+        findings.push(wrong_type(path, value, setting));
+        return;
+    };
+    for (key, member) in members {
+        visit_sections(member, &pointer::child(path, key), findings);
+    }
+}
+
+fn wrong_type(path: &str, value: &Value, setting: &Setting) -> Finding {
+    let found = match value {
+        Value::Null => "null",
+        Value::Bool(_) => "true or false",
+        Value::Number(_) => "a number",
+        Value::String(_) => "text",
+        Value::Array(_) => "an array",
+        Value::Object(_) => "an object",
+    };
+    let problem = format!("wrong type: {found}");
+    Finding::new(path, problem, format!("write {}", setting.expectation()))
+}
+
+fn describe(error: &Error<serde_json::Error>) -> Finding {
+    let message = error.inner().to_string();
+    let path = error.path().iter().fold(String::new(), |path, segment| match segment {
+        Segment::Map { key } => pointer::child(&path, key),
+        Segment::Seq { index } => pointer::child(&path, &index.to_string()),
+        Segment::Enum { variant } => pointer::child(&path, variant),
+        Segment::Unknown => path,
+    });
+    if let Some(field) = quoted_after(&message, "missing field `") {
+        return missing(pointer::child(&path, field));
+    }
+    match setting_at(&path) {
+        Some(setting) => Finding::new(path, message, format!("write {}", setting.expectation())),
+        None => unknown(path),
+    }
+}
+
+fn quoted_after<'a>(message: &'a str, prefix: &str) -> Option<&'a str> {
+    message.strip_prefix(prefix)?.split('`').next()
+}
+
+fn missing(path: String) -> Finding {
+    let expectation = setting_at(&path).map_or_else(String::new, Setting::expectation);
+    Finding::new(path, "this setting is required", format!("write {expectation}"))
+}
+
+fn unknown(path: String) -> Finding {
+    let (parent, key) = pointer::split_last(&path).unwrap_or(("", String::new()));
+    let known = members_of(parent);
+    let hint = match nearest_name(&key, known.iter().copied()) {
+        Some(name) => format!("did you mean `{name}`?"),
+        None => format!("remove it or use one of {}", super::reference::quoted(&known)),
+    };
+    let problem = format!("`{key}` is not a setting");
+    Finding::new(path, problem, hint)
+}
+
+/// Lists the names that the section at `pointer` may hold.
+fn members_of(section: &str) -> Vec<&'static str> {
+    if section == "/classes" {
+        return super::schema::QueryClass::BY_PRIORITY.map(|class| class.name()).to_vec();
+    }
+    let members = SETTINGS.iter().filter_map(|setting| {
+        let (parent, name) = setting.path.rsplit_once('/')?;
+        let same = setting_at(section).is_some_and(|known| known.path == parent);
+        same.then_some(name)
+    });
+    members.collect()
+}
+
+/// Puts a value of the right kind at `path`, or removes what may be left out.
+fn repair(document: &mut Value, path: &str) {
+    match setting_at(path) {
+        Some(setting) if !setting.path.ends_with('*') => {
+            pointer::insert(document, path, setting.sample());
+        }
+        _ => pointer::remove(document, path),
+    }
+}
--- /dev/null
+++ b/crates/papayastack/src/settings/reference.rs
@@ -0,0 +1,323 @@
+//! Every setting with its kind, unit and range; the checks and the reference page read it.
+
+use serde_json::{Value, json};
+
+/// Milliseconds in a day.
+const DAY_MS: u64 = 86_400_000;
+
+/// What a setting holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Kind {
+    /// An object with fixed members.
+    Section,
+    /// An object whose members are named by the operator.
+    Named(&'static str),
+    /// A whole number within a range, both ends included.
+    Number {
+        /// The unit.
+        unit: &'static str,
+        /// The least value.
+        min: u64,
+        /// The greatest value.
+        max: u64,
+    },
+    /// True or false.
+    Flag,
+    /// One of a closed set.
+    Choice(&'static [&'static str]),
+    /// A name.
+    Name,
+    /// An IP address with a port.
+    Address,
+}
+
+/// One setting.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Setting {
+    /// The place as a JSON pointer, `*` for a name of the operator's.
+    pub path: &'static str,
+    /// What it holds.
+    pub kind: Kind,
+    /// What it is for.
+    pub about: &'static str,
+}
+
+impl Setting {
+    const fn new(path: &'static str, kind: Kind, about: &'static str) -> Self {
+        Self { path, kind, about }
+    }
+
+    const fn number(
+        path: &'static str,
+        unit: &'static str,
+        (min, max): (u64, u64),
+        about: &'static str,
+    ) -> Self {
+        Self::new(path, Kind::Number { unit, min, max }, about)
+    }
+
+    /// Returns a value of the right kind.
+    pub(crate) fn sample(&self) -> Value {
+        match self.kind {
+            Kind::Section | Kind::Named(_) => json!({}),
+            Kind::Number { min, .. } => json!(min),
+            Kind::Flag => json!(false),
+            Kind::Choice(choices) => json!(choices[0]),
+            Kind::Name => json!("unknown"),
+            Kind::Address => json!("127.0.0.1:1"),
+        }
+    }
+
+    /// Says what a right value looks like.
+    pub(crate) fn expectation(&self) -> String {
+        match self.kind {
+            Kind::Section => "an object".to_owned(),
+            Kind::Named(what) => format!("an object of {what}"),
+            Kind::Number { unit, min, max } => {
+                format!("a whole number of {unit} from {min} to {max}")
+            }
+            Kind::Flag => "true or false".to_owned(),
+            Kind::Choice(choices) => format!("one of {}", quoted(choices)),
+            Kind::Name => "a name as text".to_owned(),
+            Kind::Address => "an IP address with a port, for example \"10.0.0.1:8080\"".to_owned(),
+        }
+    }
+}
+
+/// Every setting, each after the section that holds it.
+pub(crate) const SETTINGS: &[Setting] = &[
+    Setting::new("", Kind::Section, "The settings of a site."),
+    Setting::new("/data_centres", Kind::Named("data centres"), "The data centres by name."),
+    Setting::new("/data_centres/*", Kind::Section, "One data centre."),
+    Setting::new("/data_centres/*/region", Kind::Name, "The region that it lies in."),
+    Setting::new("/services", Kind::Named("services"), "The services that callers may query."),
+    Setting::new("/services/*", Kind::Section, "One service."),
+    Setting::number(
+        "/services/*/slots_per_upstream",
+        "requests",
+        (1, 10_000),
+        "Requests that one upstream takes at once.",
+    ),
+    Setting::number(
+        "/services/*/connections_per_upstream",
+        "connections",
+        (1, 100_000),
+        "Connections that one upstream takes from all VMs together.",
+    ),
+    Setting::number(
+        "/services/*/new_connection_ms",
+        "milliseconds",
+        (0, 10_000),
+        "The cost of a new connection.",
+    ),
+    Setting::new(
+        "/services/*/accepts_submissions",
+        Kind::Flag,
+        "Whether the service accepts submissions.",
+    ),
+    Setting::new("/services/*/upstreams", Kind::Named("upstreams"), "The upstreams by id."),
+    Setting::new("/services/*/upstreams/*", Kind::Section, "One upstream."),
+    Setting::new(
+        "/services/*/upstreams/*/data_centre",
+        Kind::Name,
+        "The data centre that it runs in; one of `/data_centres`.",
+    ),
+    Setting::new("/services/*/upstreams/*/address", Kind::Address, "Its HTTP address."),
+    Setting::new("/classes", Kind::Section, "How each class of query is treated."),
+    Setting::new("/classes/*", Kind::Section, "One class: `sweep`, `lookup` or `archive`."),
+    Setting::number(
+        "/classes/*/deadline_default_ms",
+        "milliseconds",
+        (1, DAY_MS),
+        "The deadline where the caller names none; at most `deadline_max_ms`.",
+    ),
+    Setting::number(
+        "/classes/*/deadline_max_ms",
+        "milliseconds",
+        (1, DAY_MS),
+        "The longest deadline that a caller may ask for.",
+    ),
+    Setting::new("/classes/*/hedge", Kind::Flag, "Whether slow shards are hedged."),
+    Setting::number(
+        "/classes/*/hedge_quantile_permille",
+        "thousandths",
+        (1, 999),
+        "The quantile of shard latency after which a shard is hedged.",
+    ),
+    Setting::number(
+        "/classes/*/in_flight_max",
+        "queries",
+        (1, 1_000_000),
+        "Queries of the class that one VM runs at once.",
+    ),
+    Setting::new("/routing", Kind::Section, "How queries reach upstreams."),
+    Setting::new(
+        "/routing/policy",
+        Kind::Choice(&["owner", "direct", "naive"]),
+        "The way of reaching upstreams: through the VM that owns the upstream, from the entry VM \
+         within its share of slots, or from the entry VM without limits.",
+    ),
+    Setting::number(
+        "/routing/hedge_budget_permille",
+        "thousandths",
+        (0, 1_000),
+        "Hedges allowed per thousand sub-requests.",
+    ),
+    Setting::number(
+        "/routing/retry_budget_permille",
+        "thousandths",
+        (0, 1_000),
+        "Retries allowed per thousand sub-requests.",
+    ),
+    Setting::number(
+        "/routing/queue_max",
+        "sub-requests",
+        (1, 1_000_000),
+        "Sub-requests that may wait for one upstream.",
+    ),
+    Setting::number(
+        "/routing/hop_margin_ms",
+        "milliseconds",
+        (0, 1_000),
+        "The part of a deadline kept for the way back over one hop.",
+    ),
+    Setting::number(
+        "/routing/ejection_ms",
+        "milliseconds",
+        (1, 600_000),
+        "How long an ejected upstream is left alone.",
+    ),
+    Setting::new("/limits", Kind::Section, "Limits on what a VM accepts from callers."),
+    Setting::number(
+        "/limits/body_max_bytes",
+        "bytes",
+        (1_024, 16_777_216),
+        "The largest request body.",
+    ),
+    Setting::number(
+        "/limits/header_max_bytes",
+        "bytes",
+        (1_024, 1_048_576),
+        "The largest sum of header names and values.",
+    ),
+    Setting::number("/limits/terms_max", "terms", (1, 10_000), "The most terms in one query."),
+    Setting::number("/limits/term_max_bytes", "bytes", (1, 65_536), "The longest term or key."),
+    Setting::number(
+        "/limits/hits_max",
+        "hits",
+        (1, 1_000_000),
+        "The most hits that a caller may ask for.",
+    ),
+    Setting::new("/addresses", Kind::Section, "What callers are told about addresses."),
+    Setting::number(
+        "/addresses/lifetime_ms",
+        "milliseconds",
+        (100, 3_600_000),
+        "How long a caller may keep an address answer; a leaving VM stays that long.",
+    ),
+    Setting::new("/membership", Kind::Section, "How VMs watch each other."),
+    Setting::number(
+        "/membership/probe_interval_ms",
+        "milliseconds",
+        (10, 60_000),
+        "The time between two probes by one VM.",
+    ),
+    Setting::number(
+        "/membership/probe_timeout_ms",
+        "milliseconds",
+        (1, 60_000),
+        "How long a probe waits for its acknowledgement; at most `probe_interval_ms`.",
+    ),
+    Setting::number(
+        "/membership/suspicion_ms",
+        "milliseconds",
+        (10, 600_000),
+        "How long a suspected VM may refute; at least `probe_interval_ms`.",
+    ),
+    Setting::number(
+        "/membership/indirect_probes",
+        "VMs",
+        (0, 16),
+        "VMs asked to probe on behalf of a VM whose own probe failed.",
+    ),
+    Setting::new("/platform", Kind::Section, "How the platform is used."),
+    Setting::number(
+        "/platform/watchers_per_region",
+        "VMs",
+        (1, 16),
+        "VMs per region that watch the platform's objects.",
+    ),
+    Setting::number(
+        "/platform/watch_wait_ms",
+        "milliseconds",
+        (100, 600_000),
+        "How long one watch waits at the platform.",
+    ),
+    Setting::number(
+        "/platform/backoff_max_ms",
+        "milliseconds",
+        (100, 600_000),
+        "The longest pause between failed calls.",
+    ),
+    Setting::new("/submissions", Kind::Section, "How submissions are recorded."),
+    Setting::number(
+        "/submissions/buckets",
+        "buckets",
+        (1, 65_536),
+        "Buckets that submission keys are spread over.",
+    ),
+    Setting::number(
+        "/submissions/slot_ms",
+        "milliseconds",
+        (100, 3_600_000),
+        "The span of issue times that one ledger object holds; at most `retention_ms`.",
+    ),
+    Setting::number(
+        "/submissions/clock_skew_max_ms",
+        "milliseconds",
+        (0, 600_000),
+        "How far in the future a key's time of issue may lie.",
+    ),
+    Setting::number(
+        "/submissions/retention_ms",
+        "milliseconds",
+        (60_000, 31 * DAY_MS),
+        "How long outcomes are kept after the key's time of issue.",
+    ),
+    Setting::number(
+        "/submissions/group_wait_ms",
+        "milliseconds",
+        (0, 10_000),
+        "The longest wait for other submissions to share a platform write.",
+    ),
+    Setting::number(
+        "/submissions/body_max_bytes",
+        "bytes",
+        (1, 65_536),
+        "The largest submission body.",
+    ),
+];
+
+/// Returns the setting that describes the value at `pointer`.
+pub(crate) fn setting_at(pointer: &str) -> Option<&'static Setting> {
+    SETTINGS.iter().find(|setting| matches(setting.path, pointer))
+}
+
+/// Joins names for a message, each in quotation marks.
+pub(crate) fn quoted(names: &[&str]) -> String {
+    let names: Vec<String> = names.iter().map(|name| format!("`{name}`")).collect();
+    names.join(", ")
+}
+
+fn matches(pattern: &str, pointer: &str) -> bool {
+    let mut keys = pointer.split('/');
+    let mut wanted = pattern.split('/');
+    loop {
+        match (wanted.next(), keys.next()) {
+            (None, None) => return true,
+            (Some("*"), Some(_)) => {}
+            (Some(left), Some(right)) if left == right => {}
+            _ => return false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/papayastack/src/settings/render.rs
@@ -0,0 +1,95 @@
+//! Base and overlay merged into the settings of a site, and the check of a whole bundle.
+
+use std::collections::BTreeSet;
+
+use serde_json::Value;
+
+use super::check::{check_ranges, check_relations};
+use super::fault::{Fault, Finding, SettingsFile};
+use super::overlay::{check_overlay, touches};
+use super::parse::parse;
+use super::schema::Settings;
+use crate::configuration::Bundle;
+use crate::ids::SiteName;
+
+/// Renders the settings of `site`: the base, changed by the site's overlay where it has one.
+///
+/// Returns every fault of the result.
+pub fn render(bundle: &Bundle, site: &str) -> Result<Settings, Vec<Fault>> {
+    let overlay = bundle.overlays.get_key_value(site);
+    let merged = merge(&bundle.base, overlay.map(|(_, overlay)| overlay));
+    settings_of(&merged)
+        .map_err(|findings| findings.into_iter().map(|finding| blame(finding, overlay)).collect())
+}
+
+/// Merges the base and the overlay of `site` without checking the result.
+pub fn render_document(bundle: &Bundle, site: &str) -> Value {
+    merge(&bundle.base, bundle.overlays.get(site))
+}
+
+/// Checks the base by itself and with each overlay; an empty list means that all is right.
+pub fn check(bundle: &Bundle) -> Vec<Fault> {
+    let base = settings_of(&bundle.base);
+    let mut faults = BTreeSet::new();
+    if let Err(findings) = &base {
+        faults.extend(findings.iter().cloned().map(|finding| blame(finding, None)));
+    }
+    for overlay in &bundle.overlays {
+        faults.extend(overlay_faults(&bundle.base, overlay));
+    }
+    faults.into_iter().collect()
+}
+
+fn overlay_faults(base: &Value, (site, overlay): (&SiteName, &Value)) -> Vec<Fault> {
+    let file = SettingsFile::Overlay(site.clone());
+    if site.trim().is_empty() {
+        let finding = Finding::new("", "the site's name is empty", "name the site");
+        return vec![finding.in_file(file)];
+    }
+    let mut faults: Vec<Fault> = check_overlay(base, overlay)
+        .into_iter()
+        .map(|finding| finding.in_file(file.clone()))
+        .collect();
+    if !overlay.is_object() {
+        return faults;
+    }
+    if let Err(findings) = settings_of(&merge(base, Some(overlay))) {
+        let findings = findings.into_iter().map(|finding| blame(finding, Some((site, overlay))));
+        faults.extend(findings);
+    }
+    faults
+}
+
+fn merge(base: &Value, overlay: Option<&Value>) -> Value {
+    let mut merged = base.clone();
+    if let Some(overlay) = overlay {
+        json_patch::merge(&mut merged, overlay);
+    }
+    merged
+}
+
+fn settings_of(document: &Value) -> Result<Settings, Vec<Finding>> {
+    let mut findings = check_ranges(document);
+    match parse(document) {
+        Ok(settings) => {
+            findings.extend(check_relations(&settings));
+            if findings.is_empty() { Ok(settings) } else { Err(findings) }
+        }
+        Err(more) => {
+            findings.retain(|finding| more.iter().all(|other| other.path != finding.path));
+            findings.extend(more);
+            Err(findings)
+        }
+    }
+}
+
+/// Attributes a fault of the merged settings to the file that causes it.
+fn blame(finding: Finding, overlay: Option<(&SiteName, &Value)>) -> Fault {
+    let file = match overlay {
+        Some((site, overlay)) if touches(overlay, &finding.path) => {
+            SettingsFile::Overlay(site.clone())
+        }
+        _ => SettingsFile::Base,
+    };
+    finding.in_file(file)
+}
--- a/crates/papayastack/src/settings/schema.rs
+++ b/crates/papayastack/src/settings/schema.rs
@@ -5,6 +5,7 @@
 
 use papayastack_macros::{closed_set, message};
 
+use super::classes;
 use crate::ids::{DataCentreName, RegionName, ServiceName, UpstreamId};
 
 /// The configuration of one site.
@@ -16,7 +17,7 @@
     /// The services that callers may query.
     pub services: BTreeMap<ServiceName, ServiceSettings>,
     /// How each class of query is treated; classes left out use their defaults.
-    #[serde(default)]
+    #[serde(default = "classes::defaults", deserialize_with = "classes::deserialize")]
     pub classes: BTreeMap<QueryClass, ClassSettings>,
     /// How queries reach upstreams.
     #[serde(default)]
--- /dev/null
+++ b/crates/papayastack/src/settings/tests.rs
@@ -0,0 +1,121 @@
+//! Tests of rendering and checking.
+
+use std::collections::BTreeMap;
+
+use serde_json::{Value, json};
+
+use super::reference::{Kind, SETTINGS, setting_at};
+use super::*;
+use crate::configuration::Bundle;
+
+fn base() -> Value {
+    json!({
+        "data_centres": {"a": {"region": "north"}, "b": {"region": "north"}},
+        "services": {"board": {
+            "slots_per_upstream": 5,
+            "connections_per_upstream": 40,
+            "upstreams": {
+                "board-1": {"data_centre": "a", "address": "10.0.0.1:80"},
+                "board-2": {"data_centre": "b", "address": "10.0.0.2:80"},
+            },
+        }},
+        "classes": {"lookup": {"hedge": false}},
+    })
+}
+
+fn bundle(base: Value, overlays: &[(&str, Value)]) -> Bundle {
+    let overlays = overlays.iter().map(|(site, overlay)| ((*site).to_owned(), overlay.clone()));
+    Bundle { change_id: "change".into(), base, overlays: overlays.collect() }
+}
+
+fn places(faults: &[Fault]) -> Vec<(String, &str)> {
+    faults.iter().map(|fault| (fault.file.to_string(), fault.path.as_str())).collect()
+}
+
+#[test]
+fn an_overlay_changes_its_own_site_only() {
+    let overlay = json!({"routing": {"queue_max": 9}, "data_centres": {"b": {"region": "south"}}});
+    let bundle = bundle(base(), &[("south", overlay)]);
+
+    let changed = render(&bundle, "south").unwrap();
+    let unchanged = render(&bundle, "north").unwrap();
+
+    assert_eq!(check(&bundle), []);
+    assert_eq!(changed.routing.queue_max, 9);
+    assert_eq!(changed.data_centres["b"].region, "south");
+    assert_eq!(unchanged.routing, RoutingSettings::default());
+}
+
+#[test]
+fn a_class_left_out_in_part_keeps_its_own_defaults() {
+    let settings = render(&bundle(base(), &[]), "any").unwrap();
+
+    let lookup = ClassSettings { hedge: false, ..ClassSettings::default_of(QueryClass::Lookup) };
+    let archive = ClassSettings::default_of(QueryClass::Archive);
+    let expected = BTreeMap::from([(QueryClass::Lookup, lookup), (QueryClass::Archive, archive)]);
+    for (class, treatment) in expected {
+        assert_eq!(settings.classes[&class], treatment);
+    }
+}
+
+#[test]
+fn every_fault_is_reported_with_its_place() {
+    let mut broken = base();
+    broken["routing"] = json!([]);
+    broken["limits"] = json!({"terms_max": 0, "term_max": 3});
+    broken["classes"] = json!({"sweeep": {}, "sweep": {"hedge": 1}});
+    broken["services"]["board"]["slots_per_upstream"] = json!("five");
+
+    let faults = render(&bundle(broken, &[]), "any").unwrap_err();
+
+    let mut places = places(&faults);
+    places.sort();
+    let expected = [
+        "/classes/sweeep",
+        "/classes/sweep/hedge",
+        "/limits/term_max",
+        "/limits/terms_max",
+        "/routing",
+        "/services/board/slots_per_upstream",
+    ];
+    assert_eq!(places, expected.map(|path| ("base".to_owned(), path)));
+}
+
+#[test]
+fn the_table_describes_every_default_and_every_default_is_in_range() {
+    let settings = render(&bundle(base(), &[]), "any").unwrap();
+    let document = serde_json::to_value(&settings).unwrap();
+
+    let mut undescribed = Vec::new();
+    leaves(&document, "", &mut |path, _| {
+        if setting_at(path).is_none() {
+            undescribed.push(path.to_owned());
+        }
+    });
+
+    assert_eq!(undescribed, Vec::<String>::new());
+    assert_eq!(super::check::check_ranges(&document), []);
+}
+
+#[test]
+fn the_schema_accepts_every_setting_of_the_table() {
+    let document = serde_json::to_value(render(&bundle(base(), &[]), "any").unwrap()).unwrap();
+    let mut seen = std::collections::BTreeSet::new();
+    leaves(&document, "", &mut |path, _| {
+        seen.extend(setting_at(path).map(|setting| setting.path));
+    });
+
+    let is_leaf = |kind| !matches!(kind, Kind::Section | Kind::Named(_));
+    let unknown = SETTINGS.iter().filter(|setting| is_leaf(setting.kind));
+    let unknown: Vec<&str> =
+        unknown.map(|setting| setting.path).filter(|path| !seen.contains(path)).collect();
+
+    assert_eq!(unknown, Vec::<&str>::new());
+}
+
+fn leaves(value: &Value, path: &str, visit: &mut impl FnMut(&str, &Value)) {
+    let Value::Object(members) = value else { return visit(path, value) };
+    for (key, member) in members {
+        leaves(member, &pointer::child(path, key), visit);
+    }
+}
