Serve callers over HTTP through an edge trait

Statuses follow from the refusal: 503 is used only where nothing ran, so that a caller may retry it anywhere.

Ruled out: axum's own extractors for bodies, because their refusals are plain text and do not name the field. The trait CallerService lives at the edge of the process; a dropped future is the cancellation signal.

--- /dev/null
+++ b/crates/papayastack/src/caller/server.rs
@@ -0,0 +1,374 @@
+//! The callers' HTTP server.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::Duration;
+
+use axum::body::{Body, Bytes};
+use axum::extract::{Request, State};
+use axum::http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
+use axum::middleware::{self, Next};
+use axum::response::{IntoResponse, Response};
+use axum::routing::{get, post};
+use axum::serve::ListenerExt;
+use axum::{Extension, Router};
+use error_stack::{Report, ResultExt};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use papayastack_macros::value;
+use serde::Serialize;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+use super::check::{self, Rejection};
+use super::protocol::{QueryRequest, RefusalAnswer, SubmissionRequest};
+use super::service::{CallerService, RequestContext};
+use super::status::{retry_after_seconds, status_of};
+use crate::ids::DataCentreName;
+use crate::observe::{IdSource, TraceContext};
+use crate::settings::LimitSettings;
+
+/// The path of queries.
+pub const QUERY_PATH: &str = "/v1/query";
+/// The path of submissions.
+pub const SUBMISSIONS_PATH: &str = "/v1/submissions";
+/// The path of addresses.
+pub const ADDRESSES_PATH: &str = "/v1/addresses";
+/// The header that carries the request's id both ways.
+pub const REQUEST_ID_HEADER: &str = "x-request-id";
+
+const TRACEPARENT_HEADER: &str = "traceparent";
+const TRACESTATE_HEADER: &str = "tracestate";
+const TRACERESPONSE_HEADER: &str = "traceresponse";
+const REQUEST_ID_MAX_BYTES: usize = 128;
+const BODY_READ_TIMEOUT: Duration = Duration::from_secs(10);
+const IDLE_CONNECTIONS_GRACE: Duration = Duration::from_millis(250);
+
+/// Says that the server could not listen.
+#[value]
+pub struct BindError {
+    /// The address that was asked for.
+    pub address: SocketAddr,
+}
+
+impl std::fmt::Display for BindError {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "cannot listen on {}; is the address local and free?", self.address)
+    }
+}
+
+impl std::error::Error for BindError {}
+
+/// A running HTTP server for callers.
+#[derive(Debug)]
+pub struct CallerServer {
+    address: SocketAddr,
+    in_flight: Arc<InFlight>,
+    stop: watch::Sender<bool>,
+    task: JoinHandle<()>,
+}
+
+impl CallerServer {
+    /// Listens on `address` and passes requests to `service`; port 0 takes a free port.
+    ///
+    /// # Errors
+    /// The address is not local or in use.
+    pub async fn bind(
+        address: SocketAddr,
+        service: Arc<dyn CallerService>,
+    ) -> Result<Self, Report<BindError>> {
+        let bind_error = BindError { address };
+        let listener = TcpListener::bind(address).await.change_context(bind_error.clone())?;
+        let address = listener.local_addr().change_context(bind_error)?;
+        let in_flight = Arc::new(InFlight::default());
+        let state = Arc::new(ServerState {
+            service,
+            ids: IdSource::open(),
+            in_flight: Arc::clone(&in_flight),
+        });
+        let (stop, mut stopped) = watch::channel(false);
+        let listener = listener.tap_io(|stream| {
+            if let Err(error) = stream.set_nodelay(true) {
+                log::debug!("caller: cannot set TCP_NODELAY: {error}");
+            }
+        });
+        let task = tokio::spawn(async move {
+            let serve = axum::serve(listener, router(state)).with_graceful_shutdown(async move {
+                // A dropped sender stops the server as well.
+                let _ = stopped.wait_for(|stop| *stop).await;
+            });
+            if let Err(error) = serve.await {
+                log::error!("caller: the server stopped: {error}");
+            }
+        });
+        Ok(Self { address, in_flight, stop, task })
+    }
+
+    /// Returns the address that the server listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns how many requests are being answered.
+    pub fn in_flight(&self) -> usize {
+        self.in_flight.count.load(Ordering::Acquire)
+    }
+
+    /// Closes each connection after its next response, so that callers move to other VMs.
+    pub fn retire(&self) {
+        self.in_flight.retired.store(true, Ordering::Release);
+    }
+
+    /// Stops accepting connections and returns when every request in flight has its answer.
+    pub async fn shutdown(mut self) {
+        self.retire();
+        self.stop.send_replace(true);
+        loop {
+            let idle = tokio::time::timeout(IDLE_CONNECTIONS_GRACE, &mut self.task).await.is_err();
+            // Connections that never sent a request would hold the server open for ever.
+            if !idle || self.in_flight() == 0 {
+                break;
+            }
+        }
+        self.task.abort();
+    }
+}
+
+#[derive(Debug, Default)]
+struct InFlight {
+    count: AtomicUsize,
+    retired: AtomicBool,
+}
+
+impl InFlight {
+    fn enter(self: &Arc<Self>) -> InFlightGuard {
+        self.count.fetch_add(1, Ordering::AcqRel);
+        InFlightGuard { in_flight: Arc::clone(self) }
+    }
+}
+
+struct InFlightGuard {
+    in_flight: Arc<InFlight>,
+}
+
+impl Drop for InFlightGuard {
+    fn drop(&mut self) {
+        self.in_flight.count.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+struct ServerState {
+    service: Arc<dyn CallerService>,
+    ids: IdSource,
+    in_flight: Arc<InFlight>,
+}
+
+fn router(state: Arc<ServerState>) -> Router {
+    Router::new()
+        .route(QUERY_PATH, post(query))
+        .route(SUBMISSIONS_PATH, post(submit))
+        .route(ADDRESSES_PATH, get(addresses))
+        .fallback(unknown_path)
+        .method_not_allowed_fallback(method_not_allowed)
+        .layer(middleware::from_fn_with_state(Arc::clone(&state), with_context))
+        .with_state(state)
+}
+
+async fn with_context(
+    State(state): State<Arc<ServerState>>,
+    mut request: Request,
+    next: Next,
+) -> Response {
+    let _guard = state.in_flight.enter();
+    let context = request_context(request.headers(), &state.ids);
+    let request_id = context.request_id.clone();
+    let trace = context.trace.traceparent();
+    let limits = state.service.limits();
+    let mut response = match check::check_headers(request.headers(), &limits) {
+        Ok(()) => {
+            request.extensions_mut().insert(context);
+            request.extensions_mut().insert(limits);
+            next.run(request).await
+        }
+        Err(rejection) => rejected(rejection, &request_id),
+    };
+    let headers = response.headers_mut();
+    insert(headers, HeaderName::from_static(REQUEST_ID_HEADER), &request_id);
+    insert(headers, HeaderName::from_static(TRACERESPONSE_HEADER), &trace);
+    if state.in_flight.retired.load(Ordering::Acquire) {
+        headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+async fn query(
+    State(state): State<Arc<ServerState>>,
+    Extension(context): Extension<RequestContext>,
+    Extension(limits): Extension<LimitSettings>,
+    headers: HeaderMap,
+    body: Body,
+) -> Response {
+    let request = match read::<QueryRequest>(&headers, body, &limits).await {
+        Ok(request) => request,
+        Err(rejection) => return rejected(rejection, &context.request_id),
+    };
+    if let Err(rejection) = check::check_query(&request, &limits) {
+        return rejected(rejection, &context.request_id);
+    }
+    answered(state.service.query(request, context).await)
+}
+
+async fn submit(
+    State(state): State<Arc<ServerState>>,
+    Extension(context): Extension<RequestContext>,
+    Extension(limits): Extension<LimitSettings>,
+    headers: HeaderMap,
+    body: Body,
+) -> Response {
+    let request = match read::<SubmissionRequest>(&headers, body, &limits).await {
+        Ok(request) => request,
+        Err(rejection) => return rejected(rejection, &context.request_id),
+    };
+    if let Err(rejection) = check::check_submission(&request, &limits) {
+        return rejected(rejection, &context.request_id);
+    }
+    answered(state.service.submit(request, context).await)
+}
+
+async fn addresses(
+    State(state): State<Arc<ServerState>>,
+    Extension(context): Extension<RequestContext>,
+    request: Request,
+) -> Response {
+    let parameters = axum::extract::Query::<Vec<(String, String)>>::try_from_uri(request.uri());
+    let data_centre = match parameters {
+        Ok(parameters) => data_centre_of(parameters.0),
+        Err(error) => Err(Rejection::new(
+            StatusCode::BAD_REQUEST,
+            format!("the query string is malformed: {error}"),
+        )),
+    };
+    match data_centre {
+        Ok(data_centre) => answered(state.service.addresses(data_centre).await),
+        Err(rejection) => rejected(rejection, &context.request_id),
+    }
+}
+
+async fn unknown_path(Extension(context): Extension<RequestContext>, request: Request) -> Response {
+    let detail = format!(
+        "there is no `{}`; the paths are {QUERY_PATH}, {SUBMISSIONS_PATH} and {ADDRESSES_PATH}",
+        request.uri().path()
+    );
+    rejected(Rejection::new(StatusCode::NOT_FOUND, detail), &context.request_id)
+}
+
+async fn method_not_allowed(
+    Extension(context): Extension<RequestContext>,
+    request: Request,
+) -> Response {
+    let allowed = if request.uri().path() == ADDRESSES_PATH { "GET, HEAD" } else { "POST" };
+    let detail = format!("`{}` is not allowed here; use {allowed}", request.method());
+    let rejection = Rejection::new(StatusCode::METHOD_NOT_ALLOWED, detail);
+    let mut response = rejected(rejection, &context.request_id);
+    insert(response.headers_mut(), header::ALLOW, allowed);
+    response
+}
+
+fn data_centre_of(parameters: Vec<(String, String)>) -> Result<Option<DataCentreName>, Rejection> {
+    let mut data_centre = None;
+    for (name, value) in parameters {
+        if name != "data_centre" {
+            return Err(Rejection::new(
+                StatusCode::BAD_REQUEST,
+                format!("the parameter `{name}` is unknown; `data_centre` is the only one"),
+            ));
+        }
+        data_centre = Some(value).filter(|value| !value.is_empty());
+    }
+    Ok(data_centre)
+}
+
+async fn read<T: serde::de::DeserializeOwned>(
+    headers: &HeaderMap,
+    body: Body,
+    limits: &LimitSettings,
+) -> Result<T, Rejection> {
+    check::check_media_type(headers)?;
+    let limit_bytes = usize::try_from(limits.body_max_bytes).unwrap_or(usize::MAX);
+    let collected = Limited::new(body, limit_bytes).collect();
+    let bytes = match tokio::time::timeout(BODY_READ_TIMEOUT, collected).await {
+        Ok(Ok(collected)) => collected.to_bytes(),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            return Err(check::body_too_large(limits));
+        }
+        Ok(Err(error)) => {
+            let detail = format!("the body could not be read: {error}");
+            return Err(Rejection::new(StatusCode::BAD_REQUEST, detail));
+        }
+        Err(_elapsed) => {
+            let detail = format!(
+                "the body did not arrive within {} s; send it at once",
+                BODY_READ_TIMEOUT.as_secs()
+            );
+            return Err(Rejection::new(StatusCode::REQUEST_TIMEOUT, detail));
+        }
+    };
+    check::parse(&bytes)
+}
+
+fn request_context(headers: &HeaderMap, ids: &IdSource) -> RequestContext {
+    let request_id = single(headers, REQUEST_ID_HEADER)
+        .filter(|id| is_request_id(id))
+        .map_or_else(|| ids.request_id(), str::to_owned);
+    let trace = single(headers, TRACEPARENT_HEADER).and_then(TraceContext::parse);
+    let trace = match trace {
+        Some(trace) => trace.with_state(single(headers, TRACESTATE_HEADER).unwrap_or_default()),
+        None => ids.trace_context(0),
+    };
+    let accepted_at = tokio::time::Instant::now().into_std();
+    RequestContext { request_id, trace, accepted_at }
+}
+
+fn single<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    let mut values = headers.get_all(name).iter();
+    let value = values.next()?;
+    if values.next().is_some() { None } else { value.to_str().ok() }
+}
+
+fn is_request_id(id: &str) -> bool {
+    let allowed = |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'.');
+    !id.is_empty() && id.len() <= REQUEST_ID_MAX_BYTES && id.bytes().all(allowed)
+}
+
+fn answered<T: Serialize>(result: Result<T, RefusalAnswer>) -> Response {
+    match result {
+        Ok(answer) => json(StatusCode::OK, &answer),
+        Err(refused) => refusal_response(status_of(&refused.refusal), &refused),
+    }
+}
+
+fn rejected(rejection: Rejection, request_id: &str) -> Response {
+    let refused = RefusalAnswer { request_id: request_id.to_owned(), refusal: rejection.refusal };
+    refusal_response(rejection.status, &refused)
+}
+
+fn refusal_response(status: StatusCode, refused: &RefusalAnswer) -> Response {
+    let mut response = json(status, refused);
+    if let Some(seconds) = retry_after_seconds(&refused.refusal) {
+        response.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from(seconds));
+    }
+    response
+}
+
+fn json<T: Serialize>(status: StatusCode, value: &T) -> Response {
+    let body = serde_json::to_vec(value).expect("the protocol's messages have string keys");
+    let content_type = (header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    (status, [content_type], Bytes::from(body)).into_response()
+}
+
+fn insert(headers: &mut HeaderMap, name: HeaderName, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        headers.insert(name, value);
+    }
+}
--- a/crates/papayastack/src/lib.rs
+++ b/crates/papayastack/src/lib.rs
@@ -12,13 +12,15 @@
 //! | `configuration` | the accepted bundle and what is in force |
 //! | `membership` | which VMs are live |
 //! | `upstream` | the upstreams' protocol and client |
-//! | `caller` | the callers' protocol |
+//! | `caller` | the callers' protocol and HTTP server |
+//! | `observe` | trace contexts, spans, logs, metrics |
 
 mod caller;
 mod catalogue;
 mod configuration;
 mod ids;
 mod membership;
+mod observe;
 mod outcome;
 mod platform;
 mod settings;
@@ -29,6 +31,7 @@
 pub use configuration::*;
 pub use ids::*;
 pub use membership::*;
+pub use observe::*;
 pub use outcome::*;
 pub use platform::*;
 pub use settings::*;
--- /dev/null
+++ b/crates/papayastack/src/observe/mod.rs
@@ -0,0 +1,5 @@
+//! Observation: trace contexts, spans, logs and metrics.
+
+mod trace;
+
+pub use trace::{IdSource, SpanId, TraceContext, TraceId};
