--- a/crates/papayastack/src/lib.rs
+++ b/crates/papayastack/src/lib.rs
@@ -14,7 +14,8 @@
 //! | `routing` | owners of upstreams, the directory that a query pins |
 //! | `query` | the decisions of a fan-out |
 //! | `upstream` | the upstreams' protocol and client |
-//! | `caller` | the callers' protocol |
+//! | `caller` | the callers' protocol and HTTP server |
+//! | `observe` | trace contexts, spans, logs, metrics |
 
 mod caller;
 mod catalogue;
@@ -23,6 +24,7 @@
 mod ids;
 mod link;
 mod membership;
+mod observe;
 mod outcome;
 mod platform;
 mod query;
@@ -37,6 +39,7 @@
 pub use ids::*;
 pub use link::*;
 pub use membership::*;
+pub use observe::*;
 pub use outcome::*;
 pub use platform::*;
 pub use query::*;
