--- a/crates/papayastack/src/query/fanout.rs
+++ b/crates/papayastack/src/query/fanout.rs
@@ -95,6 +95,8 @@
     pub hedges: u64,
     /// Retries among those sent.
     pub retries: u64,
+    /// Attempts that may have run without giving an answer.
+    pub unresolved: u64,
     /// Replies dropped because they were late, duplicated, crossed or malformed.
     pub dropped: u64,
 }
@@ -232,6 +234,7 @@
         let mut released = Vec::new();
         for (id, attempt) in self.attempts.iter_mut().enumerate().filter(|(_, a)| a.running) {
             attempt.running = false;
+            self.counts.unresolved += 1;
             let latency = context.now.saturating_duration_since(attempt.sent_at);
             let upstream = attempt.upstream;
             context.observations.finished(upstream, &outcome, latency, ejection, context.now);
@@ -241,10 +244,13 @@
     }
 
     /// Ends the query with the answer that its partials support; `None` without any shard.
-    pub fn into_answer(self) -> Option<Answer> {
+    ///
+    /// The partials move into the answer, so a second call gives `None`.
+    pub fn take_answer(&mut self) -> Option<Answer> {
         let mut partials = Vec::with_capacity(self.progress.len());
         let mut missing = BTreeMap::new();
-        for (progress, replicas) in self.progress.into_iter().zip(self.spec.shards.iter()) {
+        let progress = std::mem::take(&mut self.progress);
+        for (progress, replicas) in progress.into_iter().zip(self.spec.shards.iter()) {
             match progress.state {
                 ShardState::Answered(partial) => partials.push(partial),
                 ShardState::Open | ShardState::GivenUp => {
@@ -254,7 +260,8 @@
         }
         let answered = partials.iter().map(|partial| partial.shard).collect();
         let coverage = Coverage::new(self.spec.snapshot, answered, missing).ok()?;
-        let answer = Answer::merge(self.spec.service, coverage, &partials, self.spec.hits_limit);
+        let service = self.spec.service.clone();
+        let answer = Answer::merge(service, coverage, &partials, self.spec.hits_limit);
         Some(answer.expect("settle admits only partials of the pinned snapshot and shard"))
     }
 
@@ -311,6 +318,7 @@
             let quantile_permille = self.spec.class.hedge_quantile_permille;
             context.latencies[shard].record(latency, quantile_permille);
         }
+        self.counts.unresolved += u64::from(matches!(outcome, AttemptOutcome::Failed(_)));
         context.budgets.observe(outcome.missing_reason() == MissingReason::Overloaded);
         self.forget_unsent(&outcome, attempt);
         self.progress[shard].running -= 1;
--- /dev/null
+++ b/crates/papayastack/src/vm/desk.rs
@@ -0,0 +1,398 @@
+//! The owner's desk: sub-requests from peers and from this VM, put to the upstreams through gates.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use tokio::sync::watch;
+
+use super::pending::PendingQueries;
+use super::shared::lock;
+use crate::dispatch::{CancelResult, Gate, GateLimits, OfferResult, Ticket, Waiting};
+use crate::ids::{AttemptId, QueryId, ShardId};
+use crate::link::{LinkHub, LinkReply, SearchBatch, SearchItem, SearchResult, SourceId};
+use crate::query::{AttemptOutcome, FailureReason, NotRunReason};
+use crate::routing::{Directory, UpstreamIndex, UpstreamPlace, direct_share};
+use crate::settings::{RoutingPolicy, RoutingSettings};
+use crate::upstream::{CancelRequest, SearchReply, SearchRequest, UpstreamClient, UpstreamError};
+
+/// The source of sub-requests that this VM makes itself.
+pub(crate) const LOCAL_SOURCE: SourceId = 0;
+/// The time after the deadline that an upstream may take to say that it stopped.
+const STOP_GRACE: Duration = Duration::from_millis(50);
+/// The longest wait for the acknowledgement of a cancellation.
+const CANCEL_TIMEOUT: Duration = Duration::from_millis(200);
+/// How long an upstream that said it is leaving gets no new work.
+const LEAVING_HOLD: Duration = Duration::from_secs(30);
+
+/// The desk of one VM; clones share it.
+#[derive(Clone)]
+pub(crate) struct UpstreamDesk {
+    inner: Arc<Inner>,
+}
+
+struct Inner {
+    client: UpstreamClient,
+    hub: LinkHub,
+    pending: Arc<PendingQueries>,
+    directory: watch::Receiver<Arc<Directory>>,
+    state: Mutex<State>,
+}
+
+#[derive(Default)]
+struct State {
+    gates: BTreeMap<UpstreamIndex, UpstreamGate>,
+    jobs: BTreeMap<Ticket, Job>,
+}
+
+struct UpstreamGate {
+    gate: Gate,
+    closed_until: Option<Instant>,
+}
+
+struct Job {
+    upstream: UpstreamIndex,
+    address: SocketAddr,
+    batch: Arc<SearchBatch>,
+    shard: ShardId,
+    deadline: Instant,
+}
+
+/// Counts of the desk at one moment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct DeskCounts {
+    /// Sub-requests that wait.
+    pub(crate) waiting: usize,
+    /// Sub-requests that hold a slot.
+    pub(crate) running: usize,
+}
+
+impl UpstreamDesk {
+    /// Opens a desk without work.
+    pub(crate) fn open(
+        client: UpstreamClient,
+        hub: LinkHub,
+        pending: Arc<PendingQueries>,
+        directory: watch::Receiver<Arc<Directory>>,
+    ) -> Self {
+        let state = Mutex::new(State::default());
+        Self { inner: Arc::new(Inner { client, hub, pending, directory, state }) }
+    }
+
+    /// Takes a batch; each of its items gets exactly one result.
+    pub(crate) fn search(
+        &self,
+        source: SourceId,
+        batch: SearchBatch,
+        routing: &RoutingSettings,
+        live_vms: usize,
+    ) {
+        let directory = Arc::clone(&self.inner.directory.borrow());
+        let now = Instant::now();
+        let deadline = now + Duration::from_millis(batch.remaining_ms);
+        let batch = Arc::new(batch);
+        for item in &batch.items {
+            let place = directory
+                .indices
+                .get(&item.upstream)
+                .and_then(|index| Some((*index, directory.upstreams.get(index)?)));
+            let Some((upstream, place)) = place else {
+                self.refuse(source, batch.query, item.attempt, NotRunReason::UnknownUpstream, 0);
+                continue;
+            };
+            let limits = gate_limits(place, routing, live_vms);
+            let job = new_job(upstream, place, &batch, item, deadline);
+            self.offer(source, item.attempt, job, limits, now);
+        }
+    }
+
+    /// Cancels attempts of a query.
+    pub(crate) fn cancel(&self, source: SourceId, query: QueryId, attempts: &[AttemptId]) {
+        for attempt in attempts {
+            self.cancel_ticket(Ticket { source, query, attempt: *attempt });
+        }
+    }
+
+    /// Cancels all work of a link that is gone.
+    pub(crate) fn source_gone(&self, source: SourceId) {
+        let state = lock(&self.inner.state);
+        let first = Ticket { source, query: QueryId::MIN, attempt: AttemptId::MIN };
+        let later = state.jobs.range(first..).map(|(ticket, _)| *ticket);
+        let tickets: Vec<Ticket> = later.take_while(|ticket| ticket.source == source).collect();
+        drop(state);
+        for ticket in tickets {
+            self.cancel_ticket(ticket);
+        }
+    }
+
+    /// Gives an upstream that is leaving no new work.
+    pub(crate) fn close_upstream(&self, upstream: UpstreamIndex) {
+        let now = Instant::now();
+        let mut state = lock(&self.inner.state);
+        let Some(entry) = state.gates.get_mut(&upstream) else {
+            return;
+        };
+        entry.closed_until = Some(now + LEAVING_HOLD);
+        let refused = entry.gate.close();
+        for ticket in &refused {
+            state.jobs.remove(ticket);
+        }
+        drop(state);
+        for ticket in refused {
+            self.refuse(ticket.source, ticket.query, ticket.attempt, NotRunReason::Draining, 0);
+        }
+    }
+
+    /// Returns how much work the desk holds.
+    pub(crate) fn counts(&self) -> DeskCounts {
+        let state = lock(&self.inner.state);
+        let gates = state.gates.values().map(|entry| &entry.gate);
+        let (waiting, running) = gates.fold((0, 0), |(waiting, running), gate| {
+            (waiting + gate.waiting_len(), running + gate.running_len())
+        });
+        DeskCounts { waiting, running }
+    }
+
+    fn offer(
+        &self,
+        source: SourceId,
+        attempt: AttemptId,
+        job: Job,
+        limits: GateLimits,
+        now: Instant,
+    ) {
+        let ticket = Ticket { source, query: job.batch.query, attempt };
+        let class = job.batch.class;
+        let mut state = lock(&self.inner.state);
+        if state.jobs.contains_key(&ticket) {
+            return;
+        }
+        let entry = state
+            .gates
+            .entry(job.upstream)
+            .or_insert_with(|| UpstreamGate { gate: Gate::new(limits), closed_until: None });
+        entry.refresh(limits, now);
+        let waiting = Waiting { ticket, class, deadline: job.deadline };
+        let result = entry.gate.offer(waiting, now);
+        let queue_len = queue_len(&entry.gate);
+        let refusal = match result {
+            OfferResult::Start => {
+                state.jobs.insert(ticket, job);
+                drop(state);
+                self.start(ticket);
+                return;
+            }
+            OfferResult::Queued => {
+                state.jobs.insert(ticket, job);
+                return;
+            }
+            OfferResult::QueueFull => NotRunReason::QueueFull,
+            OfferResult::WouldMissDeadline => NotRunReason::WouldMissDeadline,
+            OfferResult::Closed => NotRunReason::Draining,
+        };
+        drop(state);
+        self.refuse(source, ticket.query, attempt, refusal, queue_len);
+    }
+
+    fn start(&self, ticket: Ticket) {
+        let desk = self.clone();
+        tokio::spawn(async move {
+            let outcome = desk.run(ticket).await;
+            desk.ended(ticket, outcome);
+        });
+    }
+
+    async fn run(&self, ticket: Ticket) -> AttemptOutcome {
+        let Some((address, request, left)) = self.search_request(&ticket) else {
+            return AttemptOutcome::NotRun(NotRunReason::Cancelled);
+        };
+        if left.is_zero() {
+            return AttemptOutcome::NotRun(NotRunReason::WouldMissDeadline);
+        }
+        let started = Instant::now();
+        match self.inner.client.search(address, &request, left + STOP_GRACE).await {
+            Ok(reply) => outcome_of(reply, &request),
+            Err(error) => outcome_of_error(&error, started.elapsed() >= left),
+        }
+    }
+
+    fn search_request(&self, ticket: &Ticket) -> Option<(SocketAddr, SearchRequest, Duration)> {
+        let state = lock(&self.inner.state);
+        let job = state.jobs.get(ticket)?;
+        let left = job.deadline.saturating_duration_since(Instant::now());
+        let request = SearchRequest {
+            service: job.batch.service.clone(),
+            query: ticket.query,
+            attempt: ticket.attempt,
+            shard: job.shard,
+            snapshot: job.batch.snapshot,
+            selection: job.batch.selection.clone(),
+            hits_limit: job.batch.hits_limit,
+            remaining_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
+        };
+        Some((job.address, request, left))
+    }
+
+    /// Frees the slot, starts what waited and reports the outcome.
+    fn ended(&self, ticket: Ticket, outcome: AttemptOutcome) {
+        let now = Instant::now();
+        let mut state = lock(&self.inner.state);
+        let Some(job) = state.jobs.remove(&ticket) else {
+            return;
+        };
+        let Some(entry) = state.gates.get_mut(&job.upstream) else {
+            return;
+        };
+        entry.gate.finish(&ticket, now);
+        let expired = entry.gate.expire(now);
+        let started = entry.gate.start_next(now);
+        let queue_len = queue_len(&entry.gate);
+        for ticket in &expired {
+            state.jobs.remove(ticket);
+        }
+        drop(state);
+        if let Some(next) = started {
+            self.start(next);
+        }
+        for old in expired {
+            let reason = NotRunReason::WouldMissDeadline;
+            self.refuse(old.source, old.query, old.attempt, reason, queue_len);
+        }
+        if outcome == AttemptOutcome::NotRun(NotRunReason::Draining) {
+            self.close_upstream(job.upstream);
+        }
+        self.report(ticket.source, ticket.query, ticket.attempt, outcome, queue_len);
+    }
+
+    fn cancel_ticket(&self, ticket: Ticket) {
+        let mut state = lock(&self.inner.state);
+        let Some((upstream, address)) =
+            state.jobs.get(&ticket).map(|job| (job.upstream, job.address))
+        else {
+            return;
+        };
+        let Some(entry) = state.gates.get_mut(&upstream) else {
+            return;
+        };
+        match entry.gate.cancel(&ticket) {
+            CancelResult::Dequeued => {
+                state.jobs.remove(&ticket);
+                drop(state);
+                let reason = NotRunReason::Cancelled;
+                self.refuse(ticket.source, ticket.query, ticket.attempt, reason, 0);
+            }
+            CancelResult::Running => {
+                drop(state);
+                self.send_cancel(address, CancelRequest {
+                    query: ticket.query,
+                    attempt: ticket.attempt,
+                });
+            }
+            CancelResult::Unknown => {}
+        }
+    }
+
+    /// Asks the upstream to stop; the slot is freed when the search itself ends.
+    fn send_cancel(&self, address: SocketAddr, request: CancelRequest) {
+        let client = self.inner.client.clone();
+        tokio::spawn(async move {
+            // A lost cancellation costs only the rest of the search.
+            let _ = client.cancel(address, &request, CANCEL_TIMEOUT).await;
+        });
+    }
+
+    fn refuse(
+        &self,
+        source: SourceId,
+        query: QueryId,
+        attempt: AttemptId,
+        reason: NotRunReason,
+        queue_len: u32,
+    ) {
+        self.report(source, query, attempt, AttemptOutcome::NotRun(reason), queue_len);
+    }
+
+    fn report(
+        &self,
+        source: SourceId,
+        query: QueryId,
+        attempt: AttemptId,
+        outcome: AttemptOutcome,
+        queue_len: u32,
+    ) {
+        let result = SearchResult { query, attempt, outcome, queue_len };
+        if source == LOCAL_SOURCE {
+            self.inner.pending.deliver(result);
+        } else {
+            self.inner.hub.reply(source, LinkReply::Search(result));
+        }
+    }
+}
+
+impl UpstreamGate {
+    fn refresh(&mut self, limits: GateLimits, now: Instant) {
+        self.gate.set_limits(limits);
+        if self.closed_until.is_some_and(|until| until <= now) {
+            self.closed_until = None;
+            self.gate.reopen();
+        }
+    }
+}
+
+fn new_job(
+    upstream: UpstreamIndex,
+    place: &UpstreamPlace,
+    batch: &Arc<SearchBatch>,
+    item: &SearchItem,
+    deadline: Instant,
+) -> Job {
+    Job { upstream, address: place.address, batch: Arc::clone(batch), shard: item.shard, deadline }
+}
+
+fn gate_limits(place: &UpstreamPlace, routing: &RoutingSettings, live_vms: usize) -> GateLimits {
+    let slots = match routing.policy {
+        RoutingPolicy::Owner => place.slots,
+        RoutingPolicy::Direct => direct_share(place.slots, live_vms),
+        RoutingPolicy::Naive => u32::MAX,
+    };
+    GateLimits { slots, queue_max: routing.queue_max }
+}
+
+fn queue_len(gate: &Gate) -> u32 {
+    u32::try_from(gate.waiting_len()).unwrap_or(u32::MAX)
+}
+
+fn outcome_of(reply: SearchReply, request: &SearchRequest) -> AttemptOutcome {
+    match reply {
+        SearchReply::Found { query, attempt, partial } => {
+            let ours = query == request.query
+                && attempt == request.attempt
+                && partial.shard == request.shard
+                && partial.snapshot == request.snapshot;
+            if ours {
+                AttemptOutcome::Answered(partial)
+            } else {
+                AttemptOutcome::Failed(FailureReason::Malformed)
+            }
+        }
+        SearchReply::Shed { .. } => AttemptOutcome::NotRun(NotRunReason::Shed),
+        SearchReply::Draining => AttemptOutcome::NotRun(NotRunReason::Draining),
+        SearchReply::SnapshotRetired { .. } => {
+            AttemptOutcome::NotRun(NotRunReason::SnapshotRetired)
+        }
+        SearchReply::WrongShard => AttemptOutcome::NotRun(NotRunReason::WrongShard),
+        SearchReply::Cancelled => AttemptOutcome::Failed(FailureReason::Cancelled),
+    }
+}
+
+fn outcome_of_error(error: &UpstreamError, past_deadline: bool) -> AttemptOutcome {
+    match error {
+        UpstreamError::NotSent { .. } => AttemptOutcome::NotRun(NotRunReason::ConnectFailed),
+        UpstreamError::AnswerLost { .. } if past_deadline => {
+            AttemptOutcome::Failed(FailureReason::DeadlineExceeded)
+        }
+        UpstreamError::AnswerLost { .. } => AttemptOutcome::Failed(FailureReason::AnswerLost),
+        UpstreamError::Malformed { .. } => AttemptOutcome::Failed(FailureReason::Malformed),
+    }
+}
--- /dev/null
+++ b/crates/papayastack/src/vm/entry.rs
@@ -0,0 +1,241 @@
+//! The entry: checks, admits, pins and runs callers' queries.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use rand::Rng;
+
+use super::query_run::{QueryRun, QueryTask, RunEnd};
+use super::shared::Shared;
+use crate::admission::{AdmissionResult, QueryEnd};
+use crate::caller::{QueryAnswer, QueryRequest, RefusalAnswer, RequestContext};
+use crate::configuration::InForce;
+use crate::ids::ServiceName;
+use crate::outcome::{Answer, Custody, MissingReason, Refusal, RefusalReason};
+use crate::query::{FanoutCounts, FanoutSpec};
+use crate::routing::Directory;
+use crate::settings::{ClassSettings, QueryClass};
+
+/// The hits returned where the caller names no limit.
+const HITS_LIMIT_DEFAULT: u32 = 100;
+/// The shortest time in which a query can be answered.
+const DEADLINE_MIN: Duration = Duration::from_millis(2);
+/// When to come back to a VM that is not ready.
+const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// Answers one query.
+pub(crate) async fn answer_query(
+    shared: &Shared,
+    request: QueryRequest,
+    context: RequestContext,
+) -> Result<QueryAnswer, RefusalAnswer> {
+    let request_id = context.request_id.clone();
+    match run_query(shared, request, &context).await {
+        Ok(answer) => {
+            let elapsed_ms = context.accepted_at.elapsed().as_millis();
+            let elapsed_ms = u64::try_from(elapsed_ms).unwrap_or(u64::MAX);
+            Ok(QueryAnswer { request_id, answer, elapsed_ms })
+        }
+        Err(refusal) => Err(RefusalAnswer { request_id, refusal }),
+    }
+}
+
+async fn run_query(
+    shared: &Shared,
+    request: QueryRequest,
+    context: &RequestContext,
+) -> Result<Answer, Refusal> {
+    let in_force = in_force(shared)?;
+    check_service(&in_force, &request.service)?;
+    let class = class_settings(&in_force, request.class);
+    let deadline = deadline_of(&request, &class, &in_force, context)?;
+    let admitted = Admitted::admit(shared, &request.service, request.class, &class)?;
+    let query = Query { shared, in_force, request, class, deadline, context };
+    let (answer, counts) = query.run().await?;
+    admitted.end(&answer);
+    refuse_if_nothing_ran(answer, &counts)
+}
+
+/// A query that was admitted and checked.
+struct Query<'a> {
+    shared: &'a Shared,
+    in_force: Arc<InForce>,
+    request: QueryRequest,
+    class: ClassSettings,
+    deadline: Instant,
+    context: &'a RequestContext,
+}
+
+impl Query<'_> {
+    /// Runs the fan-out, once more on a newer snapshot if the pinned one is retired in time.
+    async fn run(&self) -> Result<(Answer, FanoutCounts), Refusal> {
+        let directory = Arc::clone(&self.shared.directory.borrow());
+        let spec = self.spec(&directory)?;
+        let pinned = spec.snapshot;
+        let first = QueryRun::start(self.shared, self.task(), spec.clone(), directory);
+        let end = first.run(true).await;
+        let (answer, counts) = match end {
+            RunEnd::Finished { answer, counts } => (answer, counts),
+            RunEnd::SnapshotGone => self.run_newer(pinned, spec).await?,
+        };
+        let answer = answer.ok_or_else(|| not_ready("the newest snapshot has no shards"))?;
+        Ok((answer, counts))
+    }
+
+    /// Runs on a newer snapshot if one is known, else again on the pinned one for what it covers.
+    async fn run_newer(
+        &self,
+        pinned: u64,
+        old: FanoutSpec,
+    ) -> Result<(Option<Answer>, FanoutCounts), Refusal> {
+        let directory = Arc::clone(&self.shared.directory.borrow());
+        let newest = self.spec(&directory)?;
+        let spec = if newest.snapshot > pinned { newest } else { old };
+        let second = QueryRun::start(self.shared, self.task(), spec, directory);
+        match second.run(false).await {
+            RunEnd::Finished { answer, counts } => Ok((answer, counts)),
+            RunEnd::SnapshotGone => Err(not_ready("the snapshot was retired twice")),
+        }
+    }
+
+    fn task(&self) -> QueryTask {
+        QueryTask {
+            query: self.shared.decisions().random.random(),
+            class: self.request.class,
+            selection: self.request.selection.clone(),
+            trace: self.context.trace.clone(),
+        }
+    }
+
+    fn spec(&self, directory: &Directory) -> Result<FanoutSpec, Refusal> {
+        let newest = directory.newest.get(&self.request.service);
+        let (snapshot, shards) =
+            newest.ok_or_else(|| not_ready("no snapshot of the service is known yet"))?;
+        let hits_limit = self.request.hits_limit.unwrap_or(HITS_LIMIT_DEFAULT);
+        Ok(FanoutSpec {
+            service: self.request.service.clone(),
+            snapshot: *snapshot,
+            shards: Arc::clone(shards),
+            hits_limit: hits_limit as usize,
+            deadline: self.deadline,
+            class: self.class.clone(),
+            routing: self.in_force.settings.routing.clone(),
+        })
+    }
+}
+
+/// A place in the service's limit; dropping it without an answer frees it.
+struct Admitted<'a> {
+    shared: &'a Shared,
+    service: ServiceName,
+    class: QueryClass,
+    started: Instant,
+    end: QueryEnd,
+}
+
+impl<'a> Admitted<'a> {
+    fn admit(
+        shared: &'a Shared,
+        service: &ServiceName,
+        class: QueryClass,
+        settings: &ClassSettings,
+    ) -> Result<Self, Refusal> {
+        let result = shared.decisions().admission.admit(service, class, settings.in_flight_max);
+        match result {
+            AdmissionResult::Admitted => Ok(Self {
+                shared,
+                service: service.clone(),
+                class,
+                started: Instant::now(),
+                end: QueryEnd::Served,
+            }),
+            AdmissionResult::Refused { retry_after } => Err(Custody::new().refuse(
+                RefusalReason::Overloaded,
+                "the service has as many queries in flight as its upstreams can take",
+                Some(retry_after),
+            )),
+        }
+    }
+
+    fn end(mut self, answer: &Answer) {
+        let missing = answer.coverage().missing();
+        if missing.values().any(|reason| *reason == MissingReason::Overloaded) {
+            self.end = QueryEnd::Overloaded;
+        }
+    }
+}
+
+impl Drop for Admitted<'_> {
+    fn drop(&mut self) {
+        let now = Instant::now();
+        let elapsed = now.saturating_duration_since(self.started);
+        let mut decisions = self.shared.decisions();
+        decisions.admission.release(&self.service, self.class, self.end, elapsed, now);
+    }
+}
+
+/// Returns what is in force, or the refusal of a VM that has no configuration yet.
+pub(crate) fn in_force(shared: &Shared) -> Result<Arc<InForce>, Refusal> {
+    let current = shared.in_force.borrow().clone();
+    current.ok_or_else(|| not_ready("the VM has no configuration yet"))
+}
+
+/// Refuses a service that is not configured.
+pub(crate) fn check_service(in_force: &InForce, service: &ServiceName) -> Result<(), Refusal> {
+    if in_force.settings.services.contains_key(service) {
+        return Ok(());
+    }
+    let known: Vec<&str> = in_force.settings.services.keys().map(String::as_str).collect();
+    let detail = format!("service `{service}` does not exist; there are {}", known.join(", "));
+    Err(Custody::new().refuse(RefusalReason::UnknownService, detail, None))
+}
+
+fn class_settings(in_force: &InForce, class: QueryClass) -> ClassSettings {
+    let configured = in_force.settings.classes.get(&class).cloned();
+    configured.unwrap_or_else(|| ClassSettings::default_of(class))
+}
+
+fn deadline_of(
+    request: &QueryRequest,
+    class: &ClassSettings,
+    in_force: &InForce,
+    context: &RequestContext,
+) -> Result<Instant, Refusal> {
+    let asked_ms = request.deadline_ms.unwrap_or(class.deadline_default_ms);
+    if asked_ms > class.deadline_max_ms {
+        let detail = format!(
+            "`deadline_ms` is {asked_ms}; class {} allows at most {}",
+            request.class.name(),
+            class.deadline_max_ms
+        );
+        return Err(Custody::new().refuse(RefusalReason::BadRequest, detail, None));
+    }
+    let margin = Duration::from_millis(in_force.settings.routing.hop_margin_ms);
+    let deadline = context.accepted_at + Duration::from_millis(asked_ms);
+    let answer_by = deadline.checked_sub(margin).unwrap_or(context.accepted_at);
+    if answer_by < Instant::now() + DEADLINE_MIN {
+        let detail = format!("`deadline_ms` {asked_ms} leaves no time to answer; ask for more");
+        return Err(Custody::new().refuse(RefusalReason::DeadlineTooShort, detail, None));
+    }
+    Ok(answer_by)
+}
+
+/// Turns an answer without any shard into a refusal where overload alone is the cause.
+fn refuse_if_nothing_ran(answer: Answer, counts: &FanoutCounts) -> Result<Answer, Refusal> {
+    let coverage = answer.coverage();
+    let overloaded = !coverage.missing().is_empty()
+        && coverage.missing().values().all(|reason| *reason == MissingReason::Overloaded);
+    if !coverage.answered().is_empty() || !overloaded {
+        return Ok(answer);
+    }
+    let mut custody = Custody::new();
+    if counts.unresolved > 0 {
+        custody.handed_to("upstreams");
+    }
+    let detail = "every replica of every shard is overloaded";
+    Err(custody.refuse(RefusalReason::Overloaded, detail, Some(NOT_READY_RETRY_AFTER)))
+}
+
+fn not_ready(detail: &str) -> Refusal {
+    Custody::new().refuse(RefusalReason::NotReady, detail, Some(NOT_READY_RETRY_AFTER))
+}
--- /dev/null
+++ b/crates/papayastack/src/vm/query_run.rs
@@ -0,0 +1,296 @@
+//! One running query: the fan-out machine wired to desk, links and clock.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use tokio::sync::mpsc;
+
+use super::desk::LOCAL_SOURCE;
+use super::pending::QueryEvent;
+use super::shared::Shared;
+use crate::ids::{AttemptId, QueryId, ShardId, VmAddress};
+use crate::link::{LinkRequest, SearchBatch, SearchItem, SearchResult};
+use crate::observe::TraceContext;
+use crate::outcome::Answer;
+use crate::query::{
+    AttemptOutcome, Command, FailureReason, Fanout, FanoutCounts, FanoutSpec, NotRunReason,
+};
+use crate::routing::{Directory, UpstreamIndex};
+use crate::settings::{QueryClass, RoutingPolicy};
+use crate::upstream::Selection;
+
+/// What a query looks for and for whom.
+#[derive(Debug, Clone)]
+pub(crate) struct QueryTask {
+    pub(crate) query: QueryId,
+    pub(crate) class: QueryClass,
+    pub(crate) selection: Selection,
+    pub(crate) trace: TraceContext,
+}
+
+/// How a fan-out ended.
+pub(crate) enum RunEnd {
+    /// Every shard has answered or is given up.
+    Finished {
+        /// The answer; `None` where the shard map is empty.
+        answer: Option<Answer>,
+        /// The counts of the query.
+        counts: FanoutCounts,
+    },
+    /// The pinned snapshot is gone from the upstreams.
+    SnapshotGone,
+}
+
+/// Where an attempt was sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Target {
+    Desk,
+    Peer(VmAddress),
+}
+
+/// A query in flight; dropping it cancels what still runs.
+pub(crate) struct QueryRun<'a> {
+    shared: &'a Shared,
+    task: QueryTask,
+    spec: FanoutSpec,
+    directory: Arc<Directory>,
+    events: mpsc::UnboundedReceiver<QueryEvent>,
+    fanout: Fanout,
+    targets: BTreeMap<AttemptId, Target>,
+    undelivered: VecDeque<AttemptId>,
+    snapshot_gone: bool,
+}
+
+impl<'a> QueryRun<'a> {
+    /// Starts the query's attempts.
+    pub(crate) fn start(
+        shared: &'a Shared,
+        task: QueryTask,
+        spec: FanoutSpec,
+        directory: Arc<Directory>,
+    ) -> Self {
+        let events = shared.pending.register(task.query);
+        let (fanout, commands) = {
+            let mut decisions = shared.decisions();
+            let mut context = decisions.context(&spec.service, task.class, Instant::now());
+            Fanout::start(spec.clone(), &mut context)
+        };
+        let mut run = Self {
+            shared,
+            task,
+            spec,
+            directory,
+            events,
+            fanout,
+            targets: BTreeMap::new(),
+            undelivered: VecDeque::new(),
+            snapshot_gone: false,
+        };
+        run.perform(commands);
+        run
+    }
+
+    /// Runs until every shard has answered or is given up, at the deadline at the latest.
+    pub(crate) async fn run(mut self, restart_if_snapshot_gone: bool) -> RunEnd {
+        while !self.fanout.is_finished() {
+            let wake = tokio::time::Instant::from_std(self.fanout.next_wake());
+            tokio::select! {
+                event = self.events.recv() => match event {
+                    Some(event) => self.on_event(event),
+                    None => break,
+                },
+                () = tokio::time::sleep_until(wake) => self.on_tick(),
+            }
+            if self.snapshot_gone && restart_if_snapshot_gone {
+                return RunEnd::SnapshotGone;
+            }
+        }
+        self.cancel_rest();
+        RunEnd::Finished { answer: self.fanout.take_answer(), counts: self.fanout.counts().clone() }
+    }
+
+    fn on_event(&mut self, event: QueryEvent) {
+        match event {
+            QueryEvent::Result(result) => self.on_result(result),
+            QueryEvent::PeerLost(peer) => self.on_peer_lost(peer),
+        }
+        while let Some(attempt) = self.undelivered.pop_front() {
+            self.reply(attempt, AttemptOutcome::NotRun(NotRunReason::QueueFull));
+        }
+    }
+
+    fn on_result(&mut self, result: SearchResult) {
+        self.targets.remove(&result.attempt);
+        self.reply(result.attempt, result.outcome);
+    }
+
+    fn on_peer_lost(&mut self, peer: VmAddress) {
+        let lost = Target::Peer(peer);
+        let attempts: Vec<AttemptId> =
+            self.targets.iter().filter(|(_, target)| **target == lost).map(|(id, _)| *id).collect();
+        for attempt in attempts {
+            self.targets.remove(&attempt);
+            self.reply(attempt, AttemptOutcome::Failed(FailureReason::OwnerLost));
+        }
+    }
+
+    fn reply(&mut self, attempt: AttemptId, outcome: AttemptOutcome) {
+        let commands = {
+            let mut decisions = self.shared.decisions();
+            let now = Instant::now();
+            let mut context = decisions.context(&self.spec.service, self.task.class, now);
+            self.fanout.on_reply(attempt, outcome, &mut context)
+        };
+        self.perform(commands);
+    }
+
+    fn on_tick(&mut self) {
+        let commands = {
+            let mut decisions = self.shared.decisions();
+            let now = Instant::now();
+            let mut context = decisions.context(&self.spec.service, self.task.class, now);
+            self.fanout.on_tick(&mut context)
+        };
+        self.perform(commands);
+        while let Some(attempt) = self.undelivered.pop_front() {
+            self.reply(attempt, AttemptOutcome::NotRun(NotRunReason::QueueFull));
+        }
+    }
+
+    fn perform(&mut self, commands: Vec<Command>) {
+        let mut sends: BTreeMap<Target, Vec<SearchItem>> = BTreeMap::new();
+        let mut cancels: BTreeMap<Target, Vec<AttemptId>> = BTreeMap::new();
+        for command in commands {
+            match command {
+                Command::Send { attempt, shard, upstream } => {
+                    self.plan_send(attempt, shard, upstream, &mut sends);
+                }
+                Command::Cancel { attempt, .. } => {
+                    if let Some(target) = self.targets.get(&attempt) {
+                        cancels.entry(*target).or_default().push(attempt);
+                    }
+                }
+                Command::SnapshotGone => self.snapshot_gone = true,
+                Command::Finished => {}
+            }
+        }
+        for (target, items) in sends {
+            self.send(target, items);
+        }
+        for (target, attempts) in cancels {
+            self.cancel(target, attempts);
+        }
+    }
+
+    fn plan_send(
+        &mut self,
+        attempt: AttemptId,
+        shard: ShardId,
+        upstream: UpstreamIndex,
+        sends: &mut BTreeMap<Target, Vec<SearchItem>>,
+    ) {
+        let target = self.target_of(upstream);
+        let Some(place) = self.directory.upstreams.get(&upstream) else {
+            self.undelivered.push_back(attempt);
+            return;
+        };
+        let item = SearchItem { attempt, shard, upstream: place.id.clone() };
+        self.targets.insert(attempt, target);
+        sends.entry(target).or_default().push(item);
+    }
+
+    /// Returns the first owner that is not known to be down; this VM where none is left.
+    fn target_of(&self, upstream: UpstreamIndex) -> Target {
+        if self.spec.routing.policy != RoutingPolicy::Owner {
+            return Target::Desk;
+        }
+        let now = Instant::now();
+        let owners = self.directory.upstreams.get(&upstream).map(|place| place.owners.as_slice());
+        let owner = owners.unwrap_or_default().iter().find(|owner| {
+            **owner == self.shared.address || !self.shared.hub.is_down(owner, now)
+        });
+        match owner {
+            Some(owner) if *owner != self.shared.address => Target::Peer(*owner),
+            _ => Target::Desk,
+        }
+    }
+
+    fn send(&mut self, target: Target, items: Vec<SearchItem>) {
+        let left = self.spec.deadline.saturating_duration_since(Instant::now());
+        let attempts: Vec<AttemptId> = items.iter().map(|item| item.attempt).collect();
+        let batch = SearchBatch {
+            query: self.task.query,
+            service: self.spec.service.clone(),
+            snapshot: self.spec.snapshot,
+            class: self.task.class,
+            selection: self.task.selection.clone(),
+            hits_limit: u32::try_from(self.spec.hits_limit).unwrap_or(u32::MAX),
+            remaining_ms: u64::try_from(self.remaining_at(target, left).as_millis())
+                .unwrap_or(u64::MAX),
+            traceparent: self.task.trace.traceparent(),
+            items,
+        };
+        match target {
+            Target::Desk => {
+                let live_vms = self.shared.members.borrow().live().count();
+                self.shared.desk.search(LOCAL_SOURCE, batch, &self.spec.routing, live_vms);
+            }
+            Target::Peer(peer) => {
+                if !self.shared.hub.send(peer, LinkRequest::Search(batch)) {
+                    for attempt in attempts {
+                        self.targets.remove(&attempt);
+                        self.undelivered.push_back(attempt);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Returns the time that `target` may use, less the margin for the way back.
+    fn remaining_at(&self, target: Target, left: Duration) -> Duration {
+        match target {
+            Target::Desk => left,
+            Target::Peer(_) => {
+                left.saturating_sub(Duration::from_millis(self.spec.routing.hop_margin_ms))
+            }
+        }
+    }
+
+    fn cancel(&self, target: Target, attempts: Vec<AttemptId>) {
+        let query = self.task.query;
+        match target {
+            Target::Desk => self.shared.desk.cancel(LOCAL_SOURCE, query, &attempts),
+            Target::Peer(peer) => {
+                // A cancellation that finds no room costs only the rest of the search.
+                let _ = self.shared.hub.send(peer, LinkRequest::Cancel { query, attempts });
+            }
+        }
+    }
+
+    /// Releases and cancels the attempts that still run.
+    fn cancel_rest(&mut self) {
+        let released = {
+            let mut decisions = self.shared.decisions();
+            let now = Instant::now();
+            let mut context = decisions.context(&self.spec.service, self.task.class, now);
+            self.fanout.abandon(&mut context)
+        };
+        let mut cancels: BTreeMap<Target, Vec<AttemptId>> = BTreeMap::new();
+        for (attempt, _) in released {
+            if let Some(target) = self.targets.remove(&attempt) {
+                cancels.entry(target).or_default().push(attempt);
+            }
+        }
+        for (target, attempts) in cancels {
+            self.cancel(target, attempts);
+        }
+    }
+}
+
+impl Drop for QueryRun<'_> {
+    fn drop(&mut self) {
+        self.cancel_rest();
+        self.shared.pending.forget(self.task.query);
+    }
+}
--- /dev/null
+++ b/crates/papayastack/src/vm/shared.rs
@@ -0,0 +1,82 @@
+//! What the parts of one VM share.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use tokio::sync::watch;
+
+use super::desk::UpstreamDesk;
+use super::pending::PendingQueries;
+use crate::admission::Admission;
+use crate::configuration::InForce;
+use crate::ids::{ServiceName, VmAddress};
+use crate::link::LinkHub;
+use crate::membership::MemberView;
+use crate::query::{Budgets, FanoutContext, Observations, QuantileTracker};
+use crate::routing::Directory;
+use crate::settings::QueryClass;
+
+/// The parts of one VM that requests pass through.
+pub(crate) struct Shared {
+    pub(crate) address: VmAddress,
+    pub(crate) in_force: watch::Receiver<Option<Arc<InForce>>>,
+    pub(crate) members: watch::Receiver<Arc<MemberView>>,
+    pub(crate) directory: watch::Receiver<Arc<Directory>>,
+    pub(crate) hub: LinkHub,
+    pub(crate) desk: UpstreamDesk,
+    pub(crate) pending: Arc<PendingQueries>,
+    pub(crate) decisions: Mutex<Decisions>,
+}
+
+impl Shared {
+    /// Locks the state that decisions share.
+    pub(crate) fn decisions(&self) -> MutexGuard<'_, Decisions> {
+        lock(&self.decisions)
+    }
+}
+
+/// The state that the decisions of all queries share.
+pub(crate) struct Decisions {
+    pub(crate) admission: Admission,
+    pub(crate) observations: Observations,
+    budgets: Budgets,
+    latencies: BTreeMap<(ServiceName, QueryClass), Vec<QuantileTracker>>,
+    pub(crate) random: SmallRng,
+}
+
+impl Decisions {
+    /// Starts without observations.
+    pub(crate) fn new(seed: u64) -> Self {
+        Self {
+            admission: Admission::new(),
+            observations: Observations::new(),
+            budgets: Budgets::new(),
+            latencies: BTreeMap::new(),
+            random: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Lends the state to one decision about a query.
+    pub(crate) fn context(
+        &mut self,
+        service: &ServiceName,
+        class: QueryClass,
+        now: Instant,
+    ) -> FanoutContext<'_, SmallRng> {
+        FanoutContext {
+            observations: &mut self.observations,
+            budgets: &mut self.budgets,
+            latencies: self.latencies.entry((service.clone(), class)).or_default(),
+            random: &mut self.random,
+            now,
+        }
+    }
+}
+
+/// Locks a mutex; the state behind it stays usable after a panic elsewhere.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
