--- a/crates/papayastack/src/upstream/mod.rs
+++ b/crates/papayastack/src/upstream/mod.rs
@@ -1,7 +1,9 @@
 //! Upstreams: their protocol and the client that speaks it.
 
+mod client;
 mod protocol;
 
+pub use client::{UpstreamClient, UpstreamError};
 pub use protocol::{
     CancelRequest, SearchReply, SearchRequest, Selection, SubmitReply, SubmitRequest,
 };
