--- a/crates/papayastack/src/lib.rs
+++ b/crates/papayastack/src/lib.rs
@@ -13,6 +13,7 @@
 //! | `membership` | which VMs are live |
 //! | `routing` | owners of upstreams, the directory that a query pins |
 //! | `query` | the decisions of a fan-out |
+//! | `seal` | keys, sealed datagrams and authenticated links between VMs |
 //! | `upstream` | the upstreams' protocol and client |
 //! | `caller` | the callers' protocol and HTTP server |
 //! | `observe` | trace contexts, spans, logs, metrics |
@@ -29,6 +30,7 @@
 mod platform;
 mod query;
 mod routing;
+mod seal;
 mod settings;
 mod upstream;
 
@@ -44,5 +46,6 @@
 pub use platform::*;
 pub use query::*;
 pub use routing::*;
+pub use seal::*;
 pub use settings::*;
 pub use upstream::*;
--- /dev/null
+++ b/crates/papayastack/src/seal/keyring.rs
@@ -0,0 +1,134 @@
+//! The system's keys, and the tags made with them.
+
+use hmac::{Hmac, Mac};
+use sha2::Sha256;
+
+/// The length of a whole tag in bytes.
+pub(crate) const TAG_BYTES: usize = 32;
+/// A whole tag.
+pub(crate) type Tag = [u8; TAG_BYTES];
+
+const KEY_MIN_BYTES: usize = 16;
+const KEYS_MAX: usize = 4;
+
+/// The keys of the system: the first one signs, all are accepted.
+///
+/// A rotation adds the new key behind the old one on all VMs, then swaps the two, then removes the
+/// old one. At each step every VM accepts what any other signs.
+#[derive(Clone)]
+pub struct Keyring {
+    keys: Vec<Key>,
+}
+
+impl Keyring {
+    /// Takes the keys from the text of the setting `system_keys`.
+    ///
+    /// # Errors
+    /// There is no key, there are too many, or one is too short.
+    pub fn new(texts: &[String]) -> Result<Self, KeyringError> {
+        if texts.is_empty() {
+            return Err(KeyringError::Empty);
+        }
+        if texts.len() > KEYS_MAX {
+            return Err(KeyringError::TooMany { count: texts.len() });
+        }
+        if let Some(index) = texts.iter().position(|text| text.len() < KEY_MIN_BYTES) {
+            return Err(KeyringError::TooShort { index });
+        }
+        Ok(Self { keys: texts.iter().map(|text| Key::new(text.as_bytes())).collect() })
+    }
+
+    /// Returns the key that signs.
+    pub(crate) fn signing(&self) -> &Key {
+        &self.keys[0]
+    }
+
+    /// Finds the key that made `tag`, which may be shortened.
+    pub(crate) fn verify(&self, label: &str, parts: &[&[u8]], tag: &[u8]) -> Option<&Key> {
+        self.keys.iter().find(|key| key.verify(label, parts, tag))
+    }
+}
+
+impl std::fmt::Debug for Keyring {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "Keyring({} keys)", self.keys.len())
+    }
+}
+
+/// One key, prepared for making tags.
+#[derive(Clone)]
+pub(crate) struct Key {
+    prepared: Hmac<Sha256>,
+}
+
+impl Key {
+    /// Prepares a key of any length.
+    pub(crate) fn new(bytes: &[u8]) -> Self {
+        let prepared = Hmac::new_from_slice(bytes).expect("HMAC takes keys of any length");
+        Self { prepared }
+    }
+
+    /// Makes a tag over `parts` for the purpose that `label` names.
+    pub(crate) fn tag(&self, label: &str, parts: &[&[u8]]) -> Tag {
+        self.fed(label, parts).finalize().into_bytes().into()
+    }
+
+    /// Says in constant time whether `tag`, which may be shortened, was made by this key.
+    pub(crate) fn verify(&self, label: &str, parts: &[&[u8]], tag: &[u8]) -> bool {
+        self.fed(label, parts).verify_truncated_left(tag).is_ok()
+    }
+
+    /// Derives a key for the purpose that `label` names.
+    pub(crate) fn derive(&self, label: &str, parts: &[&[u8]]) -> Self {
+        Self::new(&self.tag(label, parts))
+    }
+
+    fn fed(&self, label: &str, parts: &[&[u8]]) -> Hmac<Sha256> {
+        let mut mac = self.prepared.clone();
+        update_delimited(&mut mac, label.as_bytes());
+        for part in parts {
+            update_delimited(&mut mac, part);
+        }
+        mac
+    }
+}
+
+/// Adds a part behind its length, so that bytes can't move from one part to the next.
+fn update_delimited(mac: &mut Hmac<Sha256>, part: &[u8]) {
+    mac.update(&(part.len() as u64).to_be_bytes());
+    mac.update(part);
+}
+
+/// Says what is wrong with the setting `system_keys`.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum KeyringError {
+    /// There is no key.
+    Empty,
+    /// There are more keys than a rotation needs.
+    TooMany {
+        /// The number of keys.
+        count: usize,
+    },
+    /// A key is too short to be safe.
+    TooShort {
+        /// The position of the key, from zero.
+        index: usize,
+    },
+}
+
+impl std::fmt::Display for KeyringError {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Empty => write!(formatter, "system_keys is empty; name at least one key"),
+            Self::TooMany { count } => {
+                write!(formatter, "system_keys holds {count} keys; at most {KEYS_MAX} are accepted")
+            }
+            Self::TooShort { index } => write!(
+                formatter,
+                "system_keys[{index}] is too short; use at least {KEY_MIN_BYTES} random bytes"
+            ),
+        }
+    }
+}
+
+impl std::error::Error for KeyringError {}
