Test the callers' server and split it by duty

The server's file held contexts, responses and routing. They are now modules of their own, and 12 tests drive the server over loopback with a scripted service: statuses, limits, ids, trace contexts, the dropped query of a disconnected caller, and a shutdown that waits for requests but not for silent connections.

--- a/crates/papayastack/src/caller/mod.rs
+++ b/crates/papayastack/src/caller/mod.rs
@@ -1,15 +1,18 @@
 //! The callers' interface: its messages and its HTTP server.
 
 mod check;
+mod context;
 mod protocol;
+mod reply;
 mod server;
 mod service;
 mod status;
+#[cfg(test)]
+mod tests;
 
+pub use context::REQUEST_ID_HEADER;
 pub use protocol::{
     AddressesAnswer, QueryAnswer, QueryRequest, RefusalAnswer, SubmissionAnswer, SubmissionRequest,
 };
-pub use server::{
-    ADDRESSES_PATH, BindError, CallerServer, QUERY_PATH, REQUEST_ID_HEADER, SUBMISSIONS_PATH,
-};
+pub use server::{ADDRESSES_PATH, BindError, CallerServer, QUERY_PATH, SUBMISSIONS_PATH};
 pub use service::{CallerService, RequestContext};
--- a/crates/papayastack/src/caller/server.rs
+++ b/crates/papayastack/src/caller/server.rs
@@ -5,28 +5,28 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
-use axum::body::{Body, Bytes};
+use axum::body::Body;
 use axum::extract::{Request, State};
 use axum::http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
 use axum::middleware::{self, Next};
-use axum::response::{IntoResponse, Response};
+use axum::response::Response;
 use axum::routing::{get, post};
 use axum::serve::ListenerExt;
 use axum::{Extension, Router};
 use error_stack::{Report, ResultExt};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use papayastack_macros::value;
-use serde::Serialize;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
 use super::check::{self, Rejection};
-use super::protocol::{QueryRequest, RefusalAnswer, SubmissionRequest};
+use super::context::{REQUEST_ID_HEADER, request_context};
+use super::protocol::{QueryRequest, SubmissionRequest};
+use super::reply::{answered, insert, rejected};
 use super::service::{CallerService, RequestContext};
-use super::status::{retry_after_seconds, status_of};
 use crate::ids::DataCentreName;
-use crate::observe::{IdSource, TraceContext};
+use crate::observe::IdSource;
 use crate::settings::LimitSettings;
 
 /// The path of queries.
@@ -35,13 +35,8 @@
 pub const SUBMISSIONS_PATH: &str = "/v1/submissions";
 /// The path of addresses.
 pub const ADDRESSES_PATH: &str = "/v1/addresses";
-/// The header that carries the request's id both ways.
-pub const REQUEST_ID_HEADER: &str = "x-request-id";
 
-const TRACEPARENT_HEADER: &str = "traceparent";
-const TRACESTATE_HEADER: &str = "tracestate";
 const TRACERESPONSE_HEADER: &str = "traceresponse";
-const REQUEST_ID_MAX_BYTES: usize = 128;
 const BODY_READ_TIMEOUT: Duration = Duration::from_secs(10);
 const IDLE_CONNECTIONS_GRACE: Duration = Duration::from_millis(250);
 
@@ -316,59 +311,3 @@
     };
     check::parse(&bytes)
 }
-
-fn request_context(headers: &HeaderMap, ids: &IdSource) -> RequestContext {
-    let request_id = single(headers, REQUEST_ID_HEADER)
-        .filter(|id| is_request_id(id))
-        .map_or_else(|| ids.request_id(), str::to_owned);
-    let trace = single(headers, TRACEPARENT_HEADER).and_then(TraceContext::parse);
-    let trace = match trace {
-        Some(trace) => trace.with_state(single(headers, TRACESTATE_HEADER).unwrap_or_default()),
-        None => ids.trace_context(0),
-    };
-    let accepted_at = tokio::time::Instant::now().into_std();
-    RequestContext { request_id, trace, accepted_at }
-}
-
-fn single<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
-    let mut values = headers.get_all(name).iter();
-    let value = values.next()?;
-    if values.next().is_some() { None } else { value.to_str().ok() }
-}
-
-fn is_request_id(id: &str) -> bool {
-    let allowed = |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'.');
-    !id.is_empty() && id.len() <= REQUEST_ID_MAX_BYTES && id.bytes().all(allowed)
-}
-
-fn answered<T: Serialize>(result: Result<T, RefusalAnswer>) -> Response {
-    match result {
-        Ok(answer) => json(StatusCode::OK, &answer),
-        Err(refused) => refusal_response(status_of(&refused.refusal), &refused),
-    }
-}
-
-fn rejected(rejection: Rejection, request_id: &str) -> Response {
-    let refused = RefusalAnswer { request_id: request_id.to_owned(), refusal: rejection.refusal };
-    refusal_response(rejection.status, &refused)
-}
-
-fn refusal_response(status: StatusCode, refused: &RefusalAnswer) -> Response {
-    let mut response = json(status, refused);
-    if let Some(seconds) = retry_after_seconds(&refused.refusal) {
-        response.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from(seconds));
-    }
-    response
-}
-
-fn json<T: Serialize>(status: StatusCode, value: &T) -> Response {
-    let body = serde_json::to_vec(value).expect("the protocol's messages have string keys");
-    let content_type = (header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    (status, [content_type], Bytes::from(body)).into_response()
-}
-
-fn insert(headers: &mut HeaderMap, name: HeaderName, value: &str) {
-    if let Ok(value) = HeaderValue::from_str(value) {
-        headers.insert(name, value);
-    }
-}
--- /dev/null
+++ b/crates/papayastack/src/caller/tests/mod.rs
@@ -0,0 +1,4 @@
+//! Tests of the callers' interface.
+
+mod fixtures;
+mod server;
