Start a VM: links admit only holders of the key, the platform is followed

Cause: the parts of a VM need one place that binds and stops them. Ruled out: one loop that reads and writes a link in turn, since two peers that both wait to write would never read. Change: Vm::bind; links run the sealed handshake and carry sealed frames; writer and reader run side by side.

--- a/crates/papayastack/src/admission/tests.rs
+++ b/crates/papayastack/src/admission/tests.rs
@@ -62,9 +62,8 @@
 fn the_class_limit_holds() {
     let mut admission = Admission::new();
 
-    let admitted = (0..5).filter(|_| {
-        admission.admit(&service(), Sweep, 2) == AdmissionResult::Admitted
-    });
+    let admitted =
+        (0..5).filter(|_| admission.admit(&service(), Sweep, 2) == AdmissionResult::Admitted);
 
     assert_eq!(admitted.count(), 2);
 }
--- a/crates/papayastack/src/lib.rs
+++ b/crates/papayastack/src/lib.rs
@@ -12,12 +12,17 @@
 //! | `configuration` | the accepted bundle and what is in force |
 //! | `membership` | which VMs are live |
 //! | `routing` | owners of upstreams, the directory that a query pins |
+//! | `admission` | how many queries run at once |
 //! | `query` | the decisions of a fan-out |
+//! | `dispatch` | queue and slots in front of an upstream |
+//! | `link` | connections between VMs |
+//! | `vm` | one VM, wired together |
 //! | `seal` | keys, sealed datagrams and authenticated links between VMs |
 //! | `upstream` | the upstreams' protocol and client |
 //! | `caller` | the callers' protocol and HTTP server |
 //! | `observe` | trace contexts, spans, logs, metrics |
 
+mod admission;
 mod caller;
 mod catalogue;
 mod configuration;
@@ -33,7 +38,9 @@
 mod seal;
 mod settings;
 mod upstream;
+mod vm;
 
+pub use admission::*;
 pub use caller::*;
 pub use catalogue::*;
 pub use configuration::*;
@@ -49,3 +56,4 @@
 pub use seal::*;
 pub use settings::*;
 pub use upstream::*;
+pub use vm::*;
--- a/crates/papayastack/src/link/hub.rs
+++ b/crates/papayastack/src/link/hub.rs
@@ -11,8 +11,11 @@
 use tokio::time::timeout;
 
 use super::connection::{LinkEnd, run_link, websocket_config};
+use super::handshake::{Socket, admit, greet};
 use super::message::{LinkReply, LinkRequest};
 use crate::ids::VmAddress;
+use crate::membership::VmIdentity;
+use crate::seal::{Keyring, LinkSession};
 
 /// Numbers an accepted link within one process; zero is this VM itself.
 pub type SourceId = u64;
@@ -60,6 +63,8 @@
 }
 
 struct Inner {
+    own: VmIdentity,
+    keyring: Arc<Keyring>,
     events: mpsc::UnboundedSender<LinkEvent>,
     state: Mutex<State>,
     next_source: AtomicU64,
@@ -80,9 +85,17 @@
 
 impl LinkHub {
     /// Accepts links on `listener`; what happens on them arrives at the returned receiver.
-    pub fn bind(listener: TcpListener) -> (Self, mpsc::UnboundedReceiver<LinkEvent>) {
+    ///
+    /// Only holders of a key of `keyring` are admitted.
+    pub fn bind(
+        listener: TcpListener,
+        own: VmIdentity,
+        keyring: Arc<Keyring>,
+    ) -> (Self, mpsc::UnboundedReceiver<LinkEvent>) {
         let (events, received) = mpsc::unbounded_channel();
         let inner = Arc::new(Inner {
+            own,
+            keyring,
             events,
             state: Mutex::new(State::default()),
             next_source: AtomicU64::new(1),
@@ -146,7 +159,7 @@
 
 impl Inner {
     fn dialled_ended(&self, peer: VmAddress, serial: u64, end: LinkEnd) {
-        log::info!(target: "papaya::link", "Link to {peer} ended: {end:?}.");
+        log::info!(target: "papaya::link", "link: Link to {peer} ended: {end:?}.");
         let mut state = lock(&self.state);
         if state.dialled.get(&peer).is_some_and(|dialled| dialled.serial == serial) {
             state.dialled.remove(&peer);
@@ -164,25 +177,26 @@
     peer: VmAddress,
     outgoing: mpsc::Receiver<LinkRequest>,
 ) -> LinkEnd {
-    let Ok(Some(socket)) = timeout(DIAL_TIMEOUT, connect(peer)).await else {
+    let Ok(Some((socket, session))) = timeout(DIAL_TIMEOUT, connect(inner, peer)).await else {
         return LinkEnd::ClosedThere;
     };
     lock(&inner.state).down_until.remove(&peer);
-    run_link(socket, outgoing, LinkRequest::replies_expected, |reply: LinkReply| {
+    run_link(socket, session, outgoing, LinkRequest::replies_expected, |reply: LinkReply| {
         let _ = inner.events.send(LinkEvent::Reply { from: peer, reply });
         1
     })
     .await
 }
 
-async fn connect(peer: VmAddress) -> Option<tokio_tungstenite::WebSocketStream<TcpStream>> {
+async fn connect(inner: &Inner, peer: VmAddress) -> Option<(Socket, LinkSession)> {
     let stream = TcpStream::connect(peer).await.ok()?;
     stream.set_nodelay(true).ok()?;
     let url = format!("ws://{peer}/link");
     let config = Some(websocket_config());
-    let (socket, _) =
+    let (mut socket, _) =
         tokio_tungstenite::client_async_with_config(url, stream, config).await.ok()?;
-    Some(socket)
+    let session = greet(&mut socket, &inner.keyring, &inner.own, peer).await?;
+    Some((socket, session))
 }
 
 async fn accept_links(inner: std::sync::Weak<Inner>, listener: TcpListener) {
@@ -196,7 +210,7 @@
                 tokio::spawn(run_accepted(inner, stream));
             }
             Err(error) => {
-                log::warn!(target: "papaya::link", "Cannot accept a link: {error}.");
+                log::warn!(target: "papaya::link", "link: Cannot accept a link: {error}.");
                 tokio::time::sleep(Duration::from_millis(50)).await;
             }
         }
@@ -207,8 +221,7 @@
     if stream.set_nodelay(true).is_err() {
         return;
     }
-    let handshake = tokio_tungstenite::accept_async_with_config(stream, Some(websocket_config()));
-    let Ok(Ok(socket)) = timeout(DIAL_TIMEOUT, handshake).await else {
+    let Ok(Some((socket, session))) = timeout(DIAL_TIMEOUT, accept(&inner, stream)).await else {
         return;
     };
     let source = inner.next_source.fetch_add(1, Ordering::Relaxed);
@@ -216,6 +229,7 @@
     lock(&inner.state).accepted.insert(source, sender);
     run_link(
         socket,
+        session,
         outgoing,
         |_: &LinkReply| 0,
         |request: LinkRequest| {
@@ -228,6 +242,13 @@
     let _ = inner.events.send(LinkEvent::SourceGone { source });
 }
 
+async fn accept(inner: &Inner, stream: TcpStream) -> Option<(Socket, LinkSession)> {
+    let config = Some(websocket_config());
+    let mut socket = tokio_tungstenite::accept_async_with_config(stream, config).await.ok()?;
+    let session = admit(&mut socket, &inner.keyring, &inner.own).await?;
+    Some((socket, session))
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/papayastack/src/link/mod.rs
+++ b/crates/papayastack/src/link/mod.rs
@@ -5,6 +5,7 @@
 
 mod codec;
 mod connection;
+mod handshake;
 mod hub;
 mod message;
 #[cfg(test)]
--- a/crates/papayastack/src/vm/desk.rs
+++ b/crates/papayastack/src/vm/desk.rs
@@ -284,10 +284,10 @@
             }
             CancelResult::Running => {
                 drop(state);
-                self.send_cancel(address, CancelRequest {
-                    query: ticket.query,
-                    attempt: ticket.attempt,
-                });
+                self.send_cancel(
+                    address,
+                    CancelRequest { query: ticket.query, attempt: ticket.attempt },
+                );
             }
             CancelResult::Unknown => {}
         }
--- a/crates/papayastack/src/vm/entry.rs
+++ b/crates/papayastack/src/vm/entry.rs
@@ -71,26 +71,19 @@
     async fn run(&self) -> Result<(Answer, FanoutCounts), Refusal> {
         let directory = Arc::clone(&self.shared.directory.borrow());
         let spec = self.spec(&directory)?;
-        let pinned = spec.snapshot;
-        let first = QueryRun::start(self.shared, self.task(), spec.clone(), directory);
+        let first = QueryRun::start(self.shared, self.task(), spec, directory);
         let end = first.run(true).await;
         let (answer, counts) = match end {
             RunEnd::Finished { answer, counts } => (answer, counts),
-            RunEnd::SnapshotGone => self.run_newer(pinned, spec).await?,
+            RunEnd::SnapshotGone => self.run_newer().await?,
         };
         let answer = answer.ok_or_else(|| not_ready("the newest snapshot has no shards"))?;
         Ok((answer, counts))
     }
 
-    /// Runs on a newer snapshot if one is known, else again on the pinned one for what it covers.
-    async fn run_newer(
-        &self,
-        pinned: u64,
-        old: FanoutSpec,
-    ) -> Result<(Option<Answer>, FanoutCounts), Refusal> {
+    async fn run_newer(&self) -> Result<(Option<Answer>, FanoutCounts), Refusal> {
         let directory = Arc::clone(&self.shared.directory.borrow());
-        let newest = self.spec(&directory)?;
-        let spec = if newest.snapshot > pinned { newest } else { old };
+        let spec = self.spec(&directory)?;
         let second = QueryRun::start(self.shared, self.task(), spec, directory);
         match second.run(false).await {
             RunEnd::Finished { answer, counts } => Ok((answer, counts)),
--- a/crates/papayastack/src/vm/mod.rs
+++ b/crates/papayastack/src/vm/mod.rs
@@ -3,6 +3,7 @@
 mod desk;
 mod directory_task;
 mod entry;
+mod follow;
 mod links;
 mod pending;
 mod query_run;
--- a/crates/papayastack/src/vm/query_run.rs
+++ b/crates/papayastack/src/vm/query_run.rs
@@ -92,7 +92,7 @@
     }
 
     /// Runs until every shard has answered or is given up, at the deadline at the latest.
-    pub(crate) async fn run(mut self, restart_if_snapshot_gone: bool) -> RunEnd {
+    pub(crate) async fn run(mut self, may_restart: bool) -> RunEnd {
         while !self.fanout.is_finished() {
             let wake = tokio::time::Instant::from_std(self.fanout.next_wake());
             tokio::select! {
@@ -102,7 +102,7 @@
                 },
                 () = tokio::time::sleep_until(wake) => self.on_tick(),
             }
-            if self.snapshot_gone && restart_if_snapshot_gone {
+            if self.snapshot_gone && may_restart && self.newer_snapshot_is_known() {
                 return RunEnd::SnapshotGone;
             }
         }
@@ -110,6 +110,12 @@
         RunEnd::Finished { answer: self.fanout.take_answer(), counts: self.fanout.counts().clone() }
     }
 
+    fn newer_snapshot_is_known(&self) -> bool {
+        let directory = self.shared.directory.borrow();
+        let newest = directory.newest.get(&self.spec.service);
+        newest.is_some_and(|(snapshot, _)| *snapshot > self.spec.snapshot)
+    }
+
     fn on_event(&mut self, event: QueryEvent) {
         match event {
             QueryEvent::Result(result) => self.on_result(result),
@@ -207,9 +213,10 @@
         }
         let now = Instant::now();
         let owners = self.directory.upstreams.get(&upstream).map(|place| place.owners.as_slice());
-        let owner = owners.unwrap_or_default().iter().find(|owner| {
-            **owner == self.shared.address || !self.shared.hub.is_down(owner, now)
-        });
+        let owner = owners
+            .unwrap_or_default()
+            .iter()
+            .find(|owner| **owner == self.shared.address || !self.shared.hub.is_down(owner, now));
         match owner {
             Some(owner) if *owner != self.shared.address => Target::Peer(*owner),
             _ => Target::Desk,
