Stand in for the platform and the upstreams of both places

Cause: the path needs outside systems that follow the published protocols. Change: papayastack-standin as a library and a binary. An upstream has exact slots, a bounded queue, a connection limit and set-up cost, and faults that switch while it runs; the platform has versions, conditional updates, watches, rates, outages, lost answers, stale reads and a lagging list. A place starts all upstreams at today's sizes and publishes its bundle and catalogues. A control interface switches the faults over HTTP. naive_search is the reference of differential tests. Ruled out: closing the listener's port while an upstream is dead, as another process could take it; the port stays bound without listening, so connections are refused.

--- /dev/null
+++ b/crates/papayastack-standin/src/index/search.rs
@@ -0,0 +1,46 @@
+//! The search of one shard, sequential and without any limit on time.
+
+use papayastack::{Hit, Partial, Selection, ShardId, SnapshotVersion};
+
+use super::documents::{Document, shard_documents};
+
+/// Answers one shard by making its documents and looking at each; the reference of differential
+/// tests.
+pub fn naive_search(
+    seed: u64,
+    service: &str,
+    snapshot: SnapshotVersion,
+    shard: ShardId,
+    selection: &Selection,
+    hits_limit: u32,
+) -> Partial {
+    let documents = shard_documents(seed, service, snapshot, shard);
+    search(&documents, snapshot, shard, selection, hits_limit)
+}
+
+/// Searches documents that were made before.
+pub(crate) fn search(
+    documents: &[Document],
+    snapshot: SnapshotVersion,
+    shard: ShardId,
+    selection: &Selection,
+    hits_limit: u32,
+) -> Partial {
+    let mut hits: Vec<Hit> =
+        documents.iter().filter(|document| matches(document, selection)).map(hit).collect();
+    let hits_total = hits.len() as u64;
+    hits.sort_by(|left, right| right.score.cmp(&left.score).then_with(|| left.id.cmp(&right.id)));
+    hits.truncate(usize::try_from(hits_limit).unwrap_or(usize::MAX));
+    Partial { snapshot, shard, hits, hits_total }
+}
+
+fn matches(document: &Document, selection: &Selection) -> bool {
+    match selection {
+        Selection::Terms(terms) => terms.iter().all(|term| document.terms.contains(term.as_str())),
+        Selection::Key(key) => document.id == *key,
+    }
+}
+
+fn hit(document: &Document) -> Hit {
+    Hit { id: document.id.clone(), score: document.score, summary: document.summary.clone() }
+}
--- /dev/null
+++ b/crates/papayastack-standin/src/options.rs
@@ -0,0 +1,121 @@
+//! The command line of `papaya-standin`.
+
+use std::collections::BTreeSet;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use papayastack::{ListedState, ListedVm, ServiceName};
+use papayastack_standin::Place;
+use pico_args::Arguments;
+
+pub(crate) const HELP: &str = "\
+Runs a stand-in platform and all stand-in upstreams of one place on loopback.
+
+Publishes the place's configuration and catalogues to the platform, prints all addresses as JSON
+and runs until SIGTERM, ctrl-c or --run-seconds.
+
+Usage: papaya-standin --place plazo-claro|armor [options]
+
+Options:
+  --place NAME            the place: plazo-claro or armor
+  --platform ADDRESS      where the platform listens (default 127.0.0.1:7001; port 0: any)
+  --control ADDRESS       where faults are switched (default 127.0.0.1:0)
+  --service NAME          start only this service; may be repeated
+  --vm ADDRESS@CENTRE     list an entry VM by its link address; may be repeated
+  --seed N                the seed of indexes and chances (default 1)
+  --run-seconds N         end after this time
+  --help                  print this text
+  --version               print the version
+
+Exit codes: 0 ended as asked, 1 could not run, 2 wrong use.
+";
+
+const PLATFORM_PORT: u16 = 7001;
+const SEED_DEFAULT: u64 = 1;
+
+/// What the command line asks for.
+pub(crate) enum Request {
+    Help,
+    Version,
+    Run(Options),
+}
+
+/// The options of a run.
+pub(crate) struct Options {
+    pub(crate) place: Place,
+    pub(crate) platform: SocketAddr,
+    pub(crate) control: SocketAddr,
+    pub(crate) services: BTreeSet<ServiceName>,
+    pub(crate) vms: Vec<ListedVm>,
+    pub(crate) seed: u64,
+    pub(crate) run_time: Option<Duration>,
+}
+
+impl Options {
+    /// Reads the arguments of this process.
+    pub(crate) fn from_arguments() -> Result<Request, String> {
+        let mut arguments = Arguments::from_env();
+        if arguments.contains(["-h", "--help"]) {
+            return Ok(Request::Help);
+        }
+        if arguments.contains(["-V", "--version"]) {
+            return Ok(Request::Version);
+        }
+        let place =
+            arguments.value_from_fn("--place", parsed_place).map_err(|error| error.to_string())?;
+        let options = Self {
+            place,
+            platform: address(&mut arguments, "--platform", PLATFORM_PORT)?,
+            control: address(&mut arguments, "--control", 0)?,
+            services: services(&mut arguments, place)?,
+            vms: arguments.values_from_fn("--vm", parsed_vm).map_err(|error| error.to_string())?,
+            seed: number(&mut arguments, "--seed")?.unwrap_or(SEED_DEFAULT),
+            run_time: number(&mut arguments, "--run-seconds")?.map(Duration::from_secs),
+        };
+        match arguments.finish().first() {
+            Some(unknown) => Err(format!("unknown argument `{}`", unknown.to_string_lossy())),
+            None => Ok(Request::Run(options)),
+        }
+    }
+}
+
+fn address(arguments: &mut Arguments, name: &'static str, port: u16) -> Result<SocketAddr, String> {
+    let address = arguments
+        .opt_value_from_str::<_, SocketAddr>(name)
+        .map_err(|error| error.to_string())?
+        .unwrap_or_else(|| SocketAddr::from((Ipv4Addr::LOCALHOST, port)));
+    if address.ip().is_loopback() {
+        Ok(address)
+    } else {
+        Err(format!("`{name}` must be a loopback address, not {address}"))
+    }
+}
+
+fn services(arguments: &mut Arguments, place: Place) -> Result<BTreeSet<ServiceName>, String> {
+    let services: Vec<ServiceName> =
+        arguments.values_from_str("--service").map_err(|error| error.to_string())?;
+    let known: Vec<&str> = place.services().iter().map(|shape| shape.name).collect();
+    match services.iter().find(|name| !known.contains(&name.as_str())) {
+        Some(name) => Err(format!("no service `{name}` here; there are {}", known.join(", "))),
+        None => Ok(services.into_iter().collect()),
+    }
+}
+
+fn number(arguments: &mut Arguments, name: &'static str) -> Result<Option<u64>, String> {
+    arguments.opt_value_from_str(name).map_err(|error| error.to_string())
+}
+
+fn parsed_place(name: &str) -> Result<Place, String> {
+    Place::named(name).ok_or_else(|| "use `plazo-claro` or `armor`".to_owned())
+}
+
+fn parsed_vm(text: &str) -> Result<ListedVm, String> {
+    let (address, data_centre) =
+        text.split_once('@').ok_or("use ADDRESS@CENTRE, for example 127.0.0.1:7101@centro-a")?;
+    Ok(ListedVm {
+        address: address.parse().map_err(|_| format!("`{address}` is not an address"))?,
+        data_centre: data_centre.to_owned(),
+        entry_vm: true,
+        state: ListedState::Live,
+    })
+}
--- /dev/null
+++ b/crates/papayastack-standin/src/place/mod.rs
@@ -0,0 +1,11 @@
+//! The users' places at the sizes of today: their services, upstreams and settings.
+
+mod publish;
+mod shapes;
+mod standin;
+#[cfg(test)]
+mod tests;
+
+pub use publish::{publish_bundle, publish_catalogue};
+pub use shapes::{Place, ServiceShape};
+pub use standin::{PlaceOptions, PlaceStandin};
--- /dev/null
+++ b/crates/papayastack-standin/src/place/standin.rs
@@ -0,0 +1,232 @@
+//! A whole place of stand-in upstreams in one process.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use papayastack::{
+    Bundle, Catalogue, DataCentreSettings, Platform, PlatformError, ServiceName, ServiceSettings,
+    SnapshotVersion, UpstreamId, UpstreamSettings,
+};
+use papayastack_macros::value;
+use serde_json::json;
+
+use super::publish::{publish_bundle, publish_catalogue, unpublish_snapshot};
+use super::shapes::{FIRST_SNAPSHOT, Place, ServiceShape};
+use crate::upstream::{UpstreamBehaviour, UpstreamSpec, UpstreamStandin};
+
+/// How a place is started.
+#[value]
+#[derive(Default)]
+pub struct PlaceOptions {
+    /// The seed of the indexes and of all chances.
+    pub seed: u64,
+    /// The services to start; all where empty.
+    pub services: BTreeSet<ServiceName>,
+    /// How the upstreams behave at first.
+    pub behaviour: UpstreamBehaviour,
+}
+
+/// The running upstreams of one place.
+pub struct PlaceStandin {
+    place: Place,
+    seed: u64,
+    shapes: BTreeMap<ServiceName, ServiceShape>,
+    upstreams: BTreeMap<UpstreamId, UpstreamStandin>,
+    data_centres: BTreeMap<UpstreamId, &'static str>,
+    catalogues: BTreeMap<ServiceName, Catalogue>,
+}
+
+impl PlaceStandin {
+    /// Binds every upstream of a place on loopback, at ports that the operating system chooses.
+    ///
+    /// # Errors
+    /// A port cannot be bound.
+    pub async fn bind(place: Place, options: PlaceOptions) -> std::io::Result<Self> {
+        let wanted = |shape: &ServiceShape| {
+            options.services.is_empty() || options.services.contains(shape.name)
+        };
+        let mut standin = Self {
+            place,
+            seed: options.seed,
+            shapes: BTreeMap::new(),
+            upstreams: BTreeMap::new(),
+            data_centres: BTreeMap::new(),
+            catalogues: BTreeMap::new(),
+        };
+        for shape in place.services().into_iter().filter(wanted) {
+            standin.bind_service(shape, &options).await?;
+        }
+        Ok(standin)
+    }
+
+    async fn bind_service(
+        &mut self,
+        shape: ServiceShape,
+        options: &PlaceOptions,
+    ) -> std::io::Result<()> {
+        let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        for (index, id) in (0_u32..).zip(shape.upstream_ids()) {
+            let data_centre = self.place.data_centres()[shape.data_centre_index(index)];
+            let spec = UpstreamSpec {
+                id: id.clone(),
+                service: shape.name.to_owned(),
+                seed: options.seed,
+                slots: shape.slots,
+                connections: shape.connections,
+                connection_setup: Duration::from_millis(shape.new_connection_ms),
+                held: BTreeMap::from([(FIRST_SNAPSHOT, shape.held_by(index, shape.shards))]),
+                behaviour: options.behaviour.clone(),
+            };
+            self.upstreams.insert(id.clone(), UpstreamStandin::bind(any_port, spec).await?);
+            self.data_centres.insert(id, data_centre);
+        }
+        let snapshots = BTreeMap::from([(FIRST_SNAPSHOT, shape.shard_map(shape.shards))]);
+        self.catalogues.insert(shape.name.to_owned(), Catalogue { snapshots });
+        self.shapes.insert(shape.name.to_owned(), shape);
+        Ok(())
+    }
+
+    /// Returns the place.
+    pub fn place(&self) -> Place {
+        self.place
+    }
+
+    /// Returns the seed.
+    pub fn seed(&self) -> u64 {
+        self.seed
+    }
+
+    /// Returns the shapes of the services.
+    pub fn shapes(&self) -> &BTreeMap<ServiceName, ServiceShape> {
+        &self.shapes
+    }
+
+    /// Returns the upstreams.
+    pub fn upstreams(&self) -> &BTreeMap<UpstreamId, UpstreamStandin> {
+        &self.upstreams
+    }
+
+    /// Iterates over the upstreams of one service.
+    pub fn upstreams_of<'a>(
+        &'a self,
+        service: &'a str,
+    ) -> impl Iterator<Item = &'a UpstreamStandin> {
+        self.upstreams.values().filter(move |upstream| upstream.service() == service)
+    }
+
+    /// Returns the data centre of an upstream.
+    pub fn data_centre(&self, upstream: &str) -> Option<&'static str> {
+        self.data_centres.get(upstream).copied()
+    }
+
+    /// Returns the catalogues as they were last made here.
+    pub fn catalogues(&self) -> &BTreeMap<ServiceName, Catalogue> {
+        &self.catalogues
+    }
+
+    /// Returns how often each submission key ran, over all upstreams.
+    pub fn executions(&self) -> BTreeMap<String, u64> {
+        let mut sum = BTreeMap::new();
+        for (key, count) in self.upstreams.values().flat_map(UpstreamStandin::executions) {
+            *sum.entry(key).or_default() += count;
+        }
+        sum
+    }
+
+    /// Returns the bundle with the addresses of the running upstreams.
+    pub fn bundle(&self) -> Bundle {
+        let region = self.place.region().to_owned();
+        let data_centres: BTreeMap<_, _> = self
+            .place
+            .data_centres()
+            .into_iter()
+            .map(|name| (name, DataCentreSettings { region: region.clone() }))
+            .collect();
+        let services: BTreeMap<_, _> = self
+            .shapes
+            .iter()
+            .map(|(name, shape)| (name.clone(), self.service_settings(shape)))
+            .collect();
+        let sites = self.place.data_centres();
+        Bundle {
+            change_id: format!("standin-{}-{}", self.place.name(), self.seed),
+            base: json!({ "data_centres": data_centres, "services": services }),
+            overlays: sites.into_iter().map(|site| (site.to_owned(), json!({}))).collect(),
+        }
+    }
+
+    /// Publishes the bundle and all catalogues.
+    ///
+    /// # Errors
+    /// The platform refused an update.
+    pub async fn publish(&self, platform: &dyn Platform) -> Result<(), PlatformError> {
+        for (service, catalogue) in &self.catalogues {
+            for (snapshot, shard_map) in &catalogue.snapshots {
+                publish_catalogue(platform, service, *snapshot, shard_map.clone()).await?;
+            }
+        }
+        publish_bundle(platform, &self.bundle()).await.map(|_| ())
+    }
+
+    /// Makes the next snapshot of a service with `shards` shards and publishes it; the earlier
+    /// snapshots stay until they are retired.
+    ///
+    /// # Errors
+    /// The service is not here, or the platform refused the update.
+    pub async fn repartition(
+        &mut self,
+        platform: &dyn Platform,
+        service: &str,
+        shards: u32,
+    ) -> Result<SnapshotVersion, PlatformError> {
+        let shape = self.shapes.get(service).ok_or(PlatformError::NotFound)?;
+        let catalogue = self.catalogues.get_mut(service).ok_or(PlatformError::NotFound)?;
+        let snapshot = catalogue.newest().map_or(FIRST_SNAPSHOT, |(version, _)| version + 1);
+        for (index, id) in (0_u32..).zip(shape.upstream_ids()) {
+            self.upstreams[&id].hold(snapshot, shape.held_by(index, shards));
+        }
+        let shard_map = shape.shard_map(shards);
+        catalogue.snapshots.insert(snapshot, shard_map.clone());
+        publish_catalogue(platform, service, snapshot, shard_map).await?;
+        Ok(snapshot)
+    }
+
+    /// Drops a snapshot at every upstream of a service, then takes it out of the catalogue.
+    ///
+    /// # Errors
+    /// The service is not here, or the platform refused the update.
+    pub async fn retire(
+        &mut self,
+        platform: &dyn Platform,
+        service: &str,
+        snapshot: SnapshotVersion,
+    ) -> Result<(), PlatformError> {
+        let catalogue = self.catalogues.get_mut(service).ok_or(PlatformError::NotFound)?;
+        catalogue.snapshots.remove(&snapshot);
+        for upstream in self.upstreams.values().filter(|one| one.service() == service) {
+            upstream.retire(snapshot);
+        }
+        unpublish_snapshot(platform, service, snapshot).await.map(|_| ())
+    }
+
+    fn service_settings(&self, shape: &ServiceShape) -> ServiceSettings {
+        let upstreams = self
+            .upstreams_of(shape.name)
+            .map(|upstream| {
+                let settings = UpstreamSettings {
+                    data_centre: self.data_centres[upstream.id()].to_owned(),
+                    address: upstream.address(),
+                };
+                (upstream.id().clone(), settings)
+            })
+            .collect();
+        ServiceSettings {
+            slots_per_upstream: shape.slots,
+            connections_per_upstream: shape.connections,
+            new_connection_ms: shape.new_connection_ms,
+            accepts_submissions: shape.accepts_submissions,
+            upstreams,
+        }
+    }
+}
--- /dev/null
+++ b/crates/papayastack-standin/src/platform/behaviour.rs
@@ -0,0 +1,49 @@
+//! How the stand-in platform behaves; everything here can be switched while it runs.
+
+use papayastack_macros::message;
+
+/// The behaviour of the stand-in platform; the default is one without faults.
+#[message]
+#[serde(default, deny_unknown_fields)]
+pub struct PlatformBehaviour {
+    /// Connections are cut and refused.
+    pub unreachable: bool,
+    /// Every call is answered with status 503 and changes nothing.
+    pub unavailable: bool,
+    /// The delay before a call is carried out, in milliseconds.
+    pub slow_ms: u64,
+    /// Updates and deletions, in thousandths, that take effect but whose answer is lost.
+    pub lost_after_permille: u32,
+    /// Updates and deletions, in thousandths, that are lost before they take effect.
+    pub lost_before_permille: u32,
+    /// Reads, in thousandths, that a stale replica answers.
+    pub stale_permille: u32,
+    /// How far the stale replica is behind, in milliseconds.
+    pub stale_ms: u64,
+    /// Updates and deletions allowed per second.
+    pub writes_per_s: u32,
+    /// Reads, watches and lists allowed per second.
+    pub reads_per_s: u32,
+    /// The largest value in bytes.
+    pub value_max_bytes: u64,
+    /// How long a change to the list of VMs stays unseen, in milliseconds.
+    pub list_lag_ms: u64,
+}
+
+impl Default for PlatformBehaviour {
+    fn default() -> Self {
+        Self {
+            unreachable: false,
+            unavailable: false,
+            slow_ms: 0,
+            lost_after_permille: 0,
+            lost_before_permille: 0,
+            stale_permille: 0,
+            stale_ms: 2_000,
+            writes_per_s: 400,
+            reads_per_s: 2_000,
+            value_max_bytes: 1_000_000,
+            list_lag_ms: 0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/papayastack-standin/src/platform/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of the stand-in platform.
--- /dev/null
+++ b/crates/papayastack-standin/src/upstream/state.rs
@@ -0,0 +1,293 @@
+//! The state of one stand-in upstream.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use papayastack::{AttemptId, QueryId, SearchReply, ShardId, SnapshotVersion};
+use papayastack_macros::message;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use tokio::sync::{Notify, Semaphore};
+
+use super::behaviour::{LoadReport, UpstreamBehaviour};
+use super::standin::UpstreamSpec;
+use crate::index::{Document, shard_documents};
+use crate::server::ConnectionGate;
+
+/// What a stand-in upstream has counted since its start.
+#[message]
+#[derive(Default)]
+pub struct UpstreamCounts {
+    /// Searches received.
+    pub searches_received: u64,
+    /// Searches that got a slot.
+    pub searches_executed: u64,
+    /// Searches and submissions shed.
+    pub shed: u64,
+    /// Searches stopped by cancellation.
+    pub cancelled: u64,
+    /// Searches stopped by their deadline.
+    pub expired: u64,
+    /// Submissions that got a slot.
+    pub submissions_executed: u64,
+    /// The most slots busy at once.
+    pub slots_busy_peak: u32,
+    /// The most connections open at once.
+    pub connections_peak: u64,
+    /// Connections let in.
+    pub connections_accepted: u64,
+    /// Connections cut because of the limit.
+    pub connections_refused: u64,
+}
+
+/// What `GET /load` answers.
+#[message]
+pub(crate) struct Load {
+    pub(crate) slots_busy: u32,
+    pub(crate) slots: u32,
+    pub(crate) queue: u32,
+    pub(crate) draining: bool,
+}
+
+type AttemptKey = (QueryId, AttemptId);
+
+/// The shared state of one stand-in upstream.
+pub(crate) struct State {
+    pub(crate) spec: UpstreamSpec,
+    pub(crate) gate: Arc<ConnectionGate>,
+    pub(crate) slots: Arc<Semaphore>,
+    inner: Mutex<Inner>,
+}
+
+struct Inner {
+    behaviour: UpstreamBehaviour,
+    held: BTreeMap<SnapshotVersion, BTreeSet<ShardId>>,
+    documents: BTreeMap<(SnapshotVersion, ShardId), Arc<Vec<Document>>>,
+    running: BTreeMap<AttemptKey, Arc<Notify>>,
+    executions: BTreeMap<String, u64>,
+    earlier_reply: Option<SearchReply>,
+    queue: u32,
+    counts: UpstreamCounts,
+    warm_at: Instant,
+    reported: Option<(Instant, Load)>,
+    random: StdRng,
+}
+
+/// What chance decided for one request.
+pub(crate) struct Chances {
+    pub(crate) hold: Duration,
+    pub(crate) shed: bool,
+    pub(crate) lose_answer: bool,
+    pub(crate) malformed: bool,
+    pub(crate) crossed: bool,
+}
+
+impl State {
+    /// Makes the state of an upstream that starts now.
+    pub(crate) fn new(spec: UpstreamSpec, gate: Arc<ConnectionGate>) -> Self {
+        let slots = Arc::new(Semaphore::new(usize::try_from(spec.slots).unwrap_or(usize::MAX)));
+        let inner = Inner {
+            warm_at: Instant::now() + Duration::from_millis(spec.behaviour.cold_ms),
+            behaviour: spec.behaviour.clone(),
+            held: spec.held.clone(),
+            documents: BTreeMap::new(),
+            running: BTreeMap::new(),
+            executions: BTreeMap::new(),
+            earlier_reply: None,
+            queue: 0,
+            counts: UpstreamCounts::default(),
+            reported: None,
+            random: StdRng::seed_from_u64(spec.chance_seed()),
+        };
+        Self { spec, gate, slots, inner: Mutex::new(inner) }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().expect("no holder of the lock panics")
+    }
+
+    /// Returns the behaviour now.
+    pub(crate) fn behaviour(&self) -> UpstreamBehaviour {
+        self.lock().behaviour.clone()
+    }
+
+    /// Switches the behaviour; a revived upstream, or one with a new cold time, starts cold.
+    pub(crate) fn set_behaviour(&self, behaviour: UpstreamBehaviour) {
+        let mut inner = self.lock();
+        let revived = inner.behaviour.dead && !behaviour.dead;
+        if revived || inner.behaviour.cold_ms != behaviour.cold_ms {
+            inner.warm_at = Instant::now() + Duration::from_millis(behaviour.cold_ms);
+        }
+        self.gate.set_reachable(!behaviour.dead);
+        inner.behaviour = behaviour;
+    }
+
+    /// Makes the upstream hold shards of a snapshot.
+    pub(crate) fn hold(&self, snapshot: SnapshotVersion, shards: BTreeSet<ShardId>) {
+        self.lock().held.insert(snapshot, shards);
+    }
+
+    /// Drops a snapshot.
+    pub(crate) fn retire(&self, snapshot: SnapshotVersion) {
+        let mut inner = self.lock();
+        inner.held.remove(&snapshot);
+        inner.documents.retain(|(held, _), _| *held != snapshot);
+    }
+
+    /// Returns the documents of a shard, or the answer that the upstream does not hold it.
+    pub(crate) fn documents(
+        &self,
+        snapshot: SnapshotVersion,
+        shard: ShardId,
+    ) -> Result<Arc<Vec<Document>>, SearchReply> {
+        let mut inner = self.lock();
+        let Some(shards) = inner.held.get(&snapshot) else {
+            let newest = inner.held.last_key_value().map_or(0, |(version, _)| *version);
+            return Err(SearchReply::SnapshotRetired { newest });
+        };
+        if !shards.contains(&shard) {
+            return Err(SearchReply::WrongShard);
+        }
+        let make =
+            || Arc::new(shard_documents(self.spec.seed, &self.spec.service, snapshot, shard));
+        Ok(inner.documents.entry((snapshot, shard)).or_insert_with(make).clone())
+    }
+
+    /// Draws what happens to one request.
+    pub(crate) fn draw(&self) -> Chances {
+        let mut inner = self.lock();
+        let behaviour = inner.behaviour.clone();
+        let cold = Instant::now() < inner.warm_at;
+        let random = &mut inner.random;
+        let mut hold = behaviour.service_time.draw(random);
+        if chance(random, behaviour.straggler_permille) {
+            hold *= behaviour.straggler_factor;
+        }
+        if cold {
+            hold *= behaviour.cold_factor;
+        }
+        Chances {
+            hold,
+            shed: chance(random, behaviour.shed_permille),
+            lose_answer: chance(random, behaviour.lost_answer_permille),
+            malformed: chance(random, behaviour.malformed_permille),
+            crossed: chance(random, behaviour.crossed_permille),
+        }
+    }
+
+    /// Registers a search so that it can be cancelled.
+    pub(crate) fn begin(&self, key: AttemptKey) -> Arc<Notify> {
+        let stop = Arc::new(Notify::new());
+        let mut inner = self.lock();
+        inner.counts.searches_received += 1;
+        inner.running.insert(key, Arc::clone(&stop));
+        stop
+    }
+
+    /// Forgets a search that ended.
+    pub(crate) fn end(&self, key: AttemptKey) {
+        self.lock().running.remove(&key);
+    }
+
+    /// Stops a running search, unless the behaviour ignores cancellation.
+    pub(crate) fn cancel(&self, key: AttemptKey) {
+        let inner = self.lock();
+        if inner.behaviour.ignores_cancel {
+            return;
+        }
+        if let Some(stop) = inner.running.get(&key) {
+            stop.notify_one();
+        }
+    }
+
+    /// Enters the queue if it has room.
+    pub(crate) fn enter_queue(&self) -> bool {
+        let mut inner = self.lock();
+        let room = inner.queue < inner.behaviour.queue_max;
+        inner.queue += u32::from(room);
+        room
+    }
+
+    /// Leaves the queue.
+    pub(crate) fn leave_queue(&self) {
+        self.lock().queue -= 1;
+    }
+
+    /// Counts something.
+    pub(crate) fn count(&self, change: impl FnOnce(&mut UpstreamCounts)) {
+        change(&mut self.lock().counts);
+    }
+
+    /// Counts work that just got a slot.
+    pub(crate) fn count_slot(&self, change: impl FnOnce(&mut UpstreamCounts)) {
+        let busy = self.slots_busy();
+        self.count(|counts| {
+            counts.slots_busy_peak = counts.slots_busy_peak.max(busy);
+            change(counts);
+        });
+    }
+
+    /// Counts one execution of a submission and returns how often its key ran.
+    pub(crate) fn count_execution(&self, key: &str) -> u64 {
+        let mut inner = self.lock();
+        let executions = inner.executions.entry(key.to_owned()).or_default();
+        *executions += 1;
+        *executions
+    }
+
+    /// Returns how often each submission key ran.
+    pub(crate) fn executions(&self) -> BTreeMap<String, u64> {
+        self.lock().executions.clone()
+    }
+
+    /// Keeps a reply and returns the one kept before.
+    pub(crate) fn exchange_reply(&self, reply: &SearchReply) -> Option<SearchReply> {
+        self.lock().earlier_reply.replace(reply.clone())
+    }
+
+    /// Returns the counts now.
+    pub(crate) fn counts(&self) -> UpstreamCounts {
+        let mut counts = self.lock().counts.clone();
+        counts.connections_peak = self.gate.open_peak() as u64;
+        counts.connections_accepted = self.gate.accepted();
+        counts.connections_refused = self.gate.refused();
+        counts
+    }
+
+    /// Returns what `GET /load` answers now.
+    pub(crate) fn load(&self) -> Load {
+        let slots_busy = self.slots_busy();
+        let mut inner = self.lock();
+        let now = Instant::now();
+        let honest = Load {
+            slots_busy,
+            slots: self.spec.slots,
+            queue: inner.queue,
+            draining: inner.behaviour.draining,
+        };
+        match inner.behaviour.load_report {
+            LoadReport::Honest => honest,
+            LoadReport::Lying { slots_busy, queue } => Load { slots_busy, queue, ..honest },
+            LoadReport::Lagging { refresh_ms } => {
+                let refresh = Duration::from_millis(refresh_ms);
+                match &inner.reported {
+                    Some((since, load)) if now - *since < refresh => load.clone(),
+                    _ => {
+                        inner.reported = Some((now, honest.clone()));
+                        honest
+                    }
+                }
+            }
+        }
+    }
+
+    fn slots_busy(&self) -> u32 {
+        let free = u32::try_from(self.slots.available_permits()).unwrap_or(u32::MAX);
+        self.spec.slots.saturating_sub(free)
+    }
+}
+
+fn chance(random: &mut StdRng, permille: u32) -> bool {
+    permille > 0 && random.random_range(0..1_000) < permille
+}
--- a/crates/papayastack/src/catalogue/mod.rs
+++ b/crates/papayastack/src/catalogue/mod.rs
@@ -17,6 +17,7 @@
 
 /// The snapshots of one service that upstreams hold now.
 #[message]
+#[derive(Default)]
 #[serde(deny_unknown_fields)]
 pub struct Catalogue {
     /// The snapshots with their shard maps; queries pin the highest.
