--- a/crates/papayastack/src/lib.rs
+++ b/crates/papayastack/src/lib.rs
@@ -11,25 +11,41 @@
 //! | `catalogue` | snapshots and shard maps |
 //! | `configuration` | the accepted bundle and what is in force |
 //! | `membership` | which VMs are live |
+//! | `routing` | owners of upstreams, the directory that a query pins |
+//! | `query` | the decisions of a fan-out |
+//! | `seal` | keys, sealed datagrams and authenticated links between VMs |
 //! | `upstream` | the upstreams' protocol and client |
-//! | `caller` | the callers' protocol |
+//! | `caller` | the callers' protocol and HTTP server |
+//! | `observe` | trace contexts, spans, logs, metrics |
 
 mod caller;
 mod catalogue;
 mod configuration;
+mod dispatch;
 mod ids;
+mod link;
 mod membership;
+mod observe;
 mod outcome;
 mod platform;
+mod query;
+mod routing;
+mod seal;
 mod settings;
 mod upstream;
 
 pub use caller::*;
 pub use catalogue::*;
 pub use configuration::*;
+pub use dispatch::*;
 pub use ids::*;
+pub use link::*;
 pub use membership::*;
+pub use observe::*;
 pub use outcome::*;
 pub use platform::*;
+pub use query::*;
+pub use routing::*;
+pub use seal::*;
 pub use settings::*;
 pub use upstream::*;
