--- a/crates/papayastack-daemon/src/main.rs
+++ b/crates/papayastack-daemon/src/main.rs
@@ -1,3 +1,56 @@
-//! The daemon on each entry VM.
+//! The daemon on each entry VM: takes callers' requests, owns upstreams, relays for its peers.
 
-fn main() {}
+mod options;
+
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use papayastack::{HttpPlatform, LocalSettings, Vm};
+use tokio::signal::unix::{SignalKind, signal};
+
+use options::{HELP, Request, USAGE_EXIT};
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    match options::from_arguments() {
+        Ok(Request::Help) => {
+            print!("{HELP}");
+            ExitCode::SUCCESS
+        }
+        Ok(Request::Version) => {
+            println!("papayad {}", env!("CARGO_PKG_VERSION"));
+            ExitCode::SUCCESS
+        }
+        Ok(Request::Run(local)) => match run(local).await {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(problem) => {
+                eprintln!("papayad: {problem}");
+                ExitCode::FAILURE
+            }
+        },
+        Err(problem) => {
+            eprintln!("papayad: {problem}; see --help");
+            ExitCode::from(USAGE_EXIT)
+        }
+    }
+}
+
+/// Runs the VM until SIGTERM or ctrl-c, then leaves without cutting a request.
+async fn run(local: LocalSettings) -> Result<(), String> {
+    let mut terminate = signal(SignalKind::terminate()).map_err(|error| error.to_string())?;
+    let platform = Arc::new(HttpPlatform::open(local.platform_addresses.clone()));
+    let vm = Vm::bind(local, platform).await.map_err(|report| report.to_string())?;
+    println!(
+        "{}",
+        serde_json::json!({
+            "caller_address": vm.caller_address(),
+            "link_address": vm.link_address(),
+        })
+    );
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = tokio::signal::ctrl_c() => {}
+    }
+    vm.shutdown().await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/papayastack-daemon/src/options.rs
@@ -0,0 +1,125 @@
+//! The command line of `papayad`.
+
+use std::io::Read;
+use std::net::SocketAddr;
+
+use papayastack::LocalSettings;
+use pico_args::Arguments;
+
+/// The exit code after a wrong command line or wrong settings.
+pub(crate) const USAGE_EXIT: u8 = 2;
+
+pub(crate) const HELP: &str = "\
+Runs one entry VM until SIGTERM or ctrl-c, then leaves without cutting a request.
+
+Usage: papayad --settings FILE [options]
+       papayad --site NAME --data-centre NAME --platform ADDRESS --key TEXT [options]
+
+Options:
+  --settings FILE         the VM's own settings in JSON; - reads standard input
+  --site NAME             the site whose overlay applies
+  --data-centre NAME      the data centre that the VM runs in
+  --platform ADDRESS      an address of the platform; may be repeated
+  --key TEXT              a key of the system, the signing one first; may be repeated
+  --link ADDRESS          the address for links and datagrams between VMs (default 127.0.0.1:0)
+  --caller ADDRESS        the address for callers (default 127.0.0.1:0)
+  --operator ADDRESS      the address for operators (default 127.0.0.1:0)
+  --help                  print this text
+  --version               print the version
+
+Options given beside --settings replace what the file says.
+
+Exit codes: 0 left as asked, 1 could not run, 2 wrong use or wrong settings.
+";
+
+/// What the command line asks for.
+pub(crate) enum Request {
+    Help,
+    Version,
+    Run(LocalSettings),
+}
+
+/// Reads the arguments of this process.
+pub(crate) fn from_arguments() -> Result<Request, String> {
+    let mut arguments = Arguments::from_env();
+    if arguments.contains(["-h", "--help"]) {
+        return Ok(Request::Help);
+    }
+    if arguments.contains(["-V", "--version"]) {
+        return Ok(Request::Version);
+    }
+    let file: Option<String> = optional(&mut arguments, "--settings")?;
+    let mut local = match file {
+        Some(file) => read_settings(&file)?,
+        None => empty_settings(),
+    };
+    override_settings(&mut local, &mut arguments)?;
+    if let Some(unknown) = arguments.finish().first() {
+        return Err(format!("unknown argument `{}`", unknown.to_string_lossy()));
+    }
+    check(&local)?;
+    Ok(Request::Run(local))
+}
+
+fn override_settings(local: &mut LocalSettings, arguments: &mut Arguments) -> Result<(), String> {
+    replace(&mut local.site, optional(arguments, "--site")?);
+    replace(&mut local.data_centre, optional(arguments, "--data-centre")?);
+    replace(&mut local.link_address, optional(arguments, "--link")?);
+    replace(&mut local.caller_address, optional(arguments, "--caller")?);
+    replace(&mut local.operator_address, optional(arguments, "--operator")?);
+    let platforms = arguments.values_from_str("--platform").map_err(|error| error.to_string())?;
+    replace(&mut local.platform_addresses, Some(platforms).filter(|list| !list.is_empty()));
+    let keys = arguments.values_from_str("--key").map_err(|error| error.to_string())?;
+    replace(&mut local.system_keys, Some(keys).filter(|list| !list.is_empty()));
+    Ok(())
+}
+
+fn check(local: &LocalSettings) -> Result<(), String> {
+    let lacking = [
+        ("site", local.site.is_empty()),
+        ("data_centre", local.data_centre.is_empty()),
+        ("platform_addresses", local.platform_addresses.is_empty()),
+        ("system_keys", local.system_keys.is_empty()),
+    ];
+    match lacking.into_iter().find(|(_, empty)| *empty) {
+        Some((name, _)) => Err(format!("`{name}` is missing from the settings")),
+        None => Ok(()),
+    }
+}
+
+fn read_settings(file: &str) -> Result<LocalSettings, String> {
+    let text = if file == "-" {
+        let mut text = String::new();
+        std::io::stdin().read_to_string(&mut text).map(|_| text)
+    } else {
+        std::fs::read_to_string(file)
+    };
+    let text = text.map_err(|error| format!("cannot read {file}: {error}"))?;
+    serde_json::from_str(&text).map_err(|error| format!("{file}: {error}"))
+}
+
+fn empty_settings() -> LocalSettings {
+    let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+    LocalSettings {
+        site: String::new(),
+        data_centre: String::new(),
+        link_address: any_port,
+        caller_address: any_port,
+        operator_address: any_port,
+        platform_addresses: Vec::new(),
+        system_keys: Vec::new(),
+    }
+}
+
+fn optional<T: std::str::FromStr<Err: std::fmt::Display>>(
+    arguments: &mut Arguments,
+    name: &'static str,
+) -> Result<Option<T>, String> {
+    arguments.opt_value_from_str(name).map_err(|error| error.to_string())
+}
+
+fn replace<T>(field: &mut T, value: Option<T>) {
+    if let Some(value) = value {
+        *field = value;
+    }
+}
--- a/crates/papayastack/src/link/hub.rs
+++ b/crates/papayastack/src/link/hub.rs
@@ -130,7 +130,7 @@
     }
 
     /// Returns how many links are up or being dialled, and how many are accepted.
-    pub fn len(&self) -> (usize, usize) {
+    pub fn link_counts(&self) -> (usize, usize) {
         let state = lock(&self.inner.state);
         (state.dialled.len(), state.accepted.len())
     }
--- a/crates/papayastack/src/vm/mod.rs
+++ b/crates/papayastack/src/vm/mod.rs
@@ -10,4 +10,5 @@
 mod shared;
 mod start;
 
+pub use shared::VmCounts;
 pub use start::{Vm, VmError};
--- a/crates/papayastack/src/vm/shared.rs
+++ b/crates/papayastack/src/vm/shared.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
+use papayastack_macros::message;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use tokio::sync::watch;
@@ -32,12 +33,43 @@
 }
 
 impl Shared {
+    /// Returns how much work the VM holds.
+    pub(crate) fn counts(&self) -> VmCounts {
+        let desk = self.desk.counts();
+        let (links_dialled, links_accepted) = self.hub.link_counts();
+        VmCounts {
+            queries: self.pending.len(),
+            sub_requests_waiting: desk.waiting,
+            sub_requests_running: desk.running,
+            replies_dropped: self.pending.dropped(),
+            links_dialled,
+            links_accepted,
+        }
+    }
+
     /// Locks the state that decisions share.
     pub(crate) fn decisions(&self) -> MutexGuard<'_, Decisions> {
         lock(&self.decisions)
     }
 }
 
+/// How much work a VM holds at one moment.
+#[message]
+pub struct VmCounts {
+    /// Callers' queries in flight.
+    pub queries: usize,
+    /// Sub-requests that wait for a slot here.
+    pub sub_requests_waiting: usize,
+    /// Sub-requests that hold a slot here.
+    pub sub_requests_running: usize,
+    /// Replies that came for queries that no longer waited.
+    pub replies_dropped: u64,
+    /// Links that this VM dialled.
+    pub links_dialled: usize,
+    /// Links that this VM accepted.
+    pub links_accepted: usize,
+}
+
 /// The state that the decisions of all queries share.
 pub(crate) struct Decisions {
     pub(crate) admission: Admission,
--- a/crates/papayastack/src/vm/start.rs
+++ b/crates/papayastack/src/vm/start.rs
@@ -16,7 +16,7 @@
 use super::follow::spawn_follow_task;
 use super::links::spawn_link_task;
 use super::pending::PendingQueries;
-use super::shared::{Decisions, Shared};
+use super::shared::{Decisions, Shared, VmCounts};
 use crate::caller::{
     AddressesAnswer, CallerServer, CallerService, QueryAnswer, QueryRequest, RefusalAnswer,
     RequestContext, SubmissionAnswer, SubmissionRequest,
@@ -118,6 +118,11 @@
         self.shared.address
     }
 
+    /// Returns how much work the VM holds.
+    pub fn counts(&self) -> VmCounts {
+        self.shared.counts()
+    }
+
     /// Finishes the requests in flight and stops.
     pub async fn shutdown(self) {
         self.callers.shutdown().await;
