Run membership as a probing protocol on datagrams

The platform's list lags, so VMs have to judge each other's liveness.

A pure machine takes datagrams, ticks, seeds and settings and gives datagrams and view changes. Two peers of the region are probed in each interval, first directly and then through others; a peer that answers neither way is suspected and has 500 ms (longer in large regions) to refute by a statement with a higher sequence. News rides on probes and on bounded datagrams under a byte budget; digests compared at random repair what was missed. A higher incarnation replaces a lower one. A VM that stood still forgives its peers, and one that hears nobody waits longer. Only VMs of the same region judge each other; three contacts per region pair, chosen by rendezvous, carry records and deaths across, and a region that falls silent is marked unreachable while its members are kept.

`Membership::bind` takes a `Member` rather than the local settings: the caller knows the address that the operating system chose. `MemberView` gains `unreachable_regions`.

Ruled out: probing listed VMs as if they were members (a lagging list would raise suspicions of VMs that are long gone).

--- /dev/null
+++ b/crates/papayastack/src/membership/driver.rs
@@ -0,0 +1,394 @@
+//! The task that runs the membership protocol of one VM on a datagram socket.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use error_stack::{Report, ResultExt};
+use papayastack_macros::value;
+use rand::Rng;
+use tokio::net::UdpSocket;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::JoinHandle;
+use tokio::time::{MissedTickBehavior, interval, sleep};
+
+use crate::ids::{DataCentreName, RegionName, VmAddress};
+use crate::platform::Platform;
+use crate::seal::{DATAGRAM_MAX_BYTES, DatagramOpener, DatagramSealer, Keyring};
+use crate::settings::{DataCentreSettings, MembershipSettings, Settings};
+
+use super::message::{Record, decode};
+use super::protocol::{Protocol, TICK, ViewChange};
+use super::{Member, MemberState, MemberView, MembershipCounts};
+
+const LOG: &str = "papaya::membership";
+
+/// Datagrams that are taken in before the next tick may run.
+const DATAGRAMS_PER_BATCH: usize = 64;
+/// The shortest time between two views that differ only in configuration versions.
+const VERSIONS_VIEW_GAP: Duration = Duration::from_millis(20);
+/// The part of the time between two views that each member adds, since a view is a copy.
+const VIEW_GAP_PER_MEMBER: Duration = Duration::from_micros(20);
+/// The shortest pause between two readings of the platform's list.
+const LIST_PAUSE_MIN: Duration = Duration::from_secs(1);
+/// The pause that each other member adds, so that the fleet's readings do not grow with it.
+const LIST_PAUSE_PER_MEMBER: Duration = Duration::from_millis(1_000);
+
+/// Says why membership could not start.
+#[value]
+pub enum MembershipError {
+    /// The address cannot be bound.
+    Bind {
+        /// The address for links and datagrams.
+        link_address: SocketAddr,
+    },
+}
+
+impl std::fmt::Display for MembershipError {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Bind { link_address } => write!(
+                formatter,
+                "`link_address` {link_address} cannot be bound for datagrams; \
+                 it must be a single local address with a free UDP port"
+            ),
+        }
+    }
+}
+
+impl std::error::Error for MembershipError {}
+
+/// A running membership protocol; dropping it ends it without a word to the others.
+#[derive(Debug)]
+pub struct Membership {
+    address: VmAddress,
+    view: watch::Receiver<Arc<MemberView>>,
+    commands: mpsc::UnboundedSender<Command>,
+    counts: Arc<Mutex<MembershipCounts>>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Membership {
+    /// Binds `own`'s link address for datagrams and starts; port 0 takes a free port.
+    ///
+    /// Until [`Membership::configure`] names the regions, each data centre counts as one.
+    ///
+    /// # Errors
+    /// The address is not local, not a single one, or in use.
+    pub async fn bind(
+        own: Member,
+        settings: MembershipSettings,
+        platform: Arc<dyn Platform>,
+        keyring: Arc<Keyring>,
+    ) -> Result<Self, Report<MembershipError>> {
+        let error = MembershipError::Bind { link_address: own.identity.address };
+        if own.identity.address.ip().is_unspecified() {
+            return Err(Report::new(error));
+        }
+        let socket =
+            UdpSocket::bind(own.identity.address).await.change_context_lazy(|| error.clone())?;
+        let address = socket.local_addr().change_context(error)?;
+        let mut own = own;
+        own.identity.address = address;
+        Ok(Self::spawn(socket, own, settings, platform, keyring))
+    }
+
+    /// Returns the address for links and datagrams.
+    pub fn address(&self) -> VmAddress {
+        self.address
+    }
+
+    /// Returns the members as they change.
+    pub fn view(&self) -> watch::Receiver<Arc<MemberView>> {
+        self.view.clone()
+    }
+
+    /// Takes the settings and the regions of a configuration that is in force.
+    pub fn configure(&self, settings: &Settings) {
+        let region = |(name, data_centre): (&DataCentreName, &DataCentreSettings)| {
+            (name.clone(), data_centre.region.clone())
+        };
+        let regions = settings.data_centres.iter().map(region).collect();
+        self.command(Command::Configure(settings.membership.clone(), regions));
+    }
+
+    /// Tells the others which configuration this VM has in force.
+    pub fn set_configuration_version(&self, version: u64) {
+        self.command(Command::SetConfigurationVersion(version));
+    }
+
+    /// Tells the others where callers reach this VM.
+    pub fn set_caller_address(&self, caller_address: SocketAddr) {
+        self.command(Command::SetCallerAddress(caller_address));
+    }
+
+    /// Tells the others that this VM takes no new work.
+    pub fn leave(&self) {
+        self.command(Command::Leave);
+    }
+
+    /// Tells the others that this VM ends now, and stops.
+    pub async fn end(self) {
+        let (done, ended) = oneshot::channel();
+        self.command(Command::End(done));
+        // The task drops the sender if it has ended already.
+        let _ = ended.await;
+    }
+
+    /// Returns what was counted since the start.
+    pub fn counts(&self) -> MembershipCounts {
+        self.counts.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    fn spawn(
+        socket: UdpSocket,
+        own: Member,
+        settings: MembershipSettings,
+        platform: Arc<dyn Platform>,
+        keyring: Arc<Keyring>,
+    ) -> Self {
+        let identity = own.identity.clone();
+        let now = Instant::now();
+        let protocol = Protocol::new(record_of(own), settings, rand::rng().random(), now);
+        let (view_sender, view) = watch::channel(Arc::new(protocol.view()));
+        let (commands, command_receiver) = mpsc::unbounded_channel();
+        let (seed_sender, seeds) = mpsc::channel(1);
+        let counts = Arc::new(Mutex::new(MembershipCounts::default()));
+        let runner = Runner {
+            socket,
+            protocol,
+            sealer: DatagramSealer::new(Arc::clone(&keyring), identity.clone()),
+            opener: DatagramOpener::new(keyring, identity.address),
+            view: view_sender,
+            published_at: now,
+            pending_change: ViewChange::None,
+            traffic: MembershipCounts::default(),
+            counts: Arc::clone(&counts),
+        };
+        let run = tokio::spawn(runner.run(command_receiver, seeds));
+        let list = tokio::spawn(read_list(platform, seed_sender, view.clone()));
+        Self { address: identity.address, view, commands, counts, tasks: vec![run, list] }
+    }
+
+    fn command(&self, command: Command) {
+        // A task that has ended needs no command.
+        let _ = self.commands.send(command);
+    }
+}
+
+impl Drop for Membership {
+    fn drop(&mut self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
+
+/// What the handle asks of the task.
+#[derive(Debug)]
+enum Command {
+    Configure(MembershipSettings, BTreeMap<DataCentreName, RegionName>),
+    SetConfigurationVersion(u64),
+    SetCallerAddress(SocketAddr),
+    Leave,
+    End(oneshot::Sender<()>),
+}
+
+/// The state of the task.
+struct Runner {
+    socket: UdpSocket,
+    protocol: Protocol,
+    sealer: DatagramSealer,
+    opener: DatagramOpener,
+    view: watch::Sender<Arc<MemberView>>,
+    published_at: Instant,
+    pending_change: ViewChange,
+    traffic: MembershipCounts,
+    counts: Arc<Mutex<MembershipCounts>>,
+}
+
+impl Runner {
+    async fn run(
+        mut self,
+        mut commands: mpsc::UnboundedReceiver<Command>,
+        mut seeds: mpsc::Receiver<Vec<VmAddress>>,
+    ) {
+        let mut ticks = interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        // One byte more than the limit tells a datagram that was cut off.
+        let mut buffer = [0; DATAGRAM_MAX_BYTES + 1];
+        loop {
+            tokio::select! {
+                received = self.socket.recv_from(&mut buffer) => {
+                    self.on_received(received, &mut buffer);
+                }
+                _ = ticks.tick() => {
+                    self.protocol.on_tick(Instant::now());
+                    self.export_counts();
+                }
+                Some(listed) = seeds.recv() => self.protocol.on_seeds(listed, Instant::now()),
+                command = commands.recv() => {
+                    let Some(command) = command else { return };
+                    if let Some(done) = self.on_command(command) {
+                        self.send_outgoing().await;
+                        // The handle may be gone.
+                        let _ = done.send(());
+                        return;
+                    }
+                }
+            }
+            self.send_outgoing().await;
+            self.publish();
+        }
+    }
+
+    /// Handles a datagram and those that wait behind it.
+    fn on_received(&mut self, first: std::io::Result<(usize, SocketAddr)>, buffer: &mut [u8]) {
+        let mut received = first;
+        for _ in 0..DATAGRAMS_PER_BATCH {
+            let Ok((length, _)) = received else { return };
+            self.on_datagram(&buffer[..length]);
+            received = self.socket.try_recv_from(buffer);
+        }
+    }
+
+    fn on_datagram(&mut self, datagram: &[u8]) {
+        self.traffic.received += 1;
+        self.traffic.received_bytes += datagram.len() as u64;
+        let Ok(opened) = self.opener.open(datagram) else {
+            self.traffic.dropped += 1;
+            return;
+        };
+        let Some(message) = decode(opened.body) else {
+            self.opener.count_malformed();
+            self.traffic.dropped += 1;
+            return;
+        };
+        let meant = opened.receiver_incarnation;
+        self.protocol.on_datagram(&opened.sender, meant, message, Instant::now());
+    }
+
+    /// Carries out a command; returns whom to tell if it was the last one.
+    fn on_command(&mut self, command: Command) -> Option<oneshot::Sender<()>> {
+        match command {
+            Command::Configure(settings, regions) => self.protocol.configure(settings, regions),
+            Command::SetConfigurationVersion(version) => {
+                self.protocol.set_configuration_version(version);
+            }
+            Command::SetCallerAddress(address) => self.protocol.set_caller_address(address),
+            Command::Leave => self.protocol.leave(),
+            Command::End(done) => {
+                self.protocol.end(Instant::now());
+                return Some(done);
+            }
+        }
+        None
+    }
+
+    async fn send_outgoing(&mut self) {
+        for outgoing in self.protocol.take_outgoing() {
+            let sealed = self.sealer.seal(outgoing.receiver, outgoing.incarnation, &outgoing.body);
+            let datagram = match sealed {
+                Ok(datagram) => datagram,
+                Err(error) => {
+                    log::error!(target: LOG, "membership: Cannot seal a datagram: {error}.");
+                    continue;
+                }
+            };
+            self.traffic.sent += 1;
+            self.traffic.sent_bytes += datagram.len() as u64;
+            // A datagram that can't be sent is as good as lost, which the protocol expects.
+            let _ = self.socket.send_to(&datagram, outgoing.receiver).await;
+        }
+    }
+
+    /// Publishes the view if it changed, and not more often than its size allows.
+    fn publish(&mut self) {
+        self.pending_change = self.pending_change.max(self.protocol.take_view_change());
+        let members = u32::try_from(self.protocol.members_count()).unwrap_or(u32::MAX);
+        let gap = match self.pending_change {
+            ViewChange::None => return,
+            ViewChange::Versions => VERSIONS_VIEW_GAP + 5 * VIEW_GAP_PER_MEMBER * members,
+            ViewChange::Members => VIEW_GAP_PER_MEMBER * members,
+        };
+        let now = Instant::now();
+        if now.saturating_duration_since(self.published_at) < gap {
+            return;
+        }
+        self.published_at = now;
+        self.pending_change = ViewChange::None;
+        let view = Arc::new(self.protocol.view());
+        log_changes(&self.view.borrow(), &view);
+        self.view.send_replace(view);
+    }
+
+    fn export_counts(&self) {
+        let MembershipCounts { sent, sent_bytes, received, received_bytes, dropped, .. } =
+            self.traffic;
+        let protocol = self.protocol.counts();
+        let merged =
+            MembershipCounts { sent, sent_bytes, received, received_bytes, dropped, ..protocol };
+        *self.counts.lock().unwrap_or_else(PoisonError::into_inner) = merged;
+    }
+}
+
+/// Reads the platform's list again and again; the larger the fleet, the more seldom.
+async fn read_list(
+    platform: Arc<dyn Platform>,
+    seeds: mpsc::Sender<Vec<VmAddress>>,
+    view: watch::Receiver<Arc<MemberView>>,
+) {
+    let mut failures = 0;
+    loop {
+        match platform.vms().await {
+            Ok(listed) => {
+                failures = 0;
+                let entry_vms = listed.into_iter().filter(|vm| vm.entry_vm);
+                let addresses = entry_vms.map(|vm| vm.address).collect();
+                if seeds.send(addresses).await.is_err() {
+                    return;
+                }
+            }
+            Err(error) => {
+                failures += 1;
+                log::warn!(target: LOG, "membership: Cannot read the list of VMs: {error}.");
+            }
+        }
+        let others = u32::try_from(view.borrow().members.len() - 1).unwrap_or(u32::MAX);
+        let jitter = rand::rng().random_range(0.5..1.5);
+        sleep(list_pause(others, failures, jitter)).await;
+    }
+}
+
+/// Returns the pause before the next reading of the list; it doubles with each failure.
+fn list_pause(others: u32, failures: u32, jitter: f64) -> Duration {
+    let pause = LIST_PAUSE_MIN + LIST_PAUSE_PER_MEMBER * others;
+    let doubled = LIST_PAUSE_MIN * 2_u32.saturating_pow(failures.min(6));
+    pause.max(doubled).mul_f64(jitter)
+}
+
+fn record_of(own: Member) -> Record {
+    Record {
+        identity: own.identity,
+        sequence: 0,
+        leaving: own.state == MemberState::Leaving,
+        data_centre: own.data_centre,
+        caller_address: own.caller_address,
+        configuration_version: own.configuration_version,
+    }
+}
+
+fn log_changes(before: &MemberView, after: &MemberView) {
+    for (address, member) in &after.members {
+        if before.members.get(address).is_none_or(|known| known.identity != member.identity) {
+            log::info!(target: LOG, "membership: {address} is a member.");
+        }
+    }
+    for address in before.members.keys().filter(|it| !after.members.contains_key(*it)) {
+        log::info!(target: LOG, "membership: {address} is no longer a member.");
+    }
+    for region in after.unreachable_regions.difference(&before.unreachable_regions) {
+        log::warn!(target: LOG, "membership: Region {region} does not answer.");
+    }
+}
--- a/crates/papayastack/src/membership/mod.rs
+++ b/crates/papayastack/src/membership/mod.rs
@@ -1,5 +1,17 @@
 //! Membership: which VMs are live, as this VM sees it.
 
+mod budget;
+mod counts;
+mod driver;
+mod message;
+mod protocol;
+mod regions;
+mod standing;
+#[cfg(test)]
+mod tests;
+mod updates;
 mod view;
 
+pub use counts::MembershipCounts;
+pub use driver::{Membership, MembershipError};
 pub use view::{Member, MemberState, MemberView, VmIdentity};
--- /dev/null
+++ b/crates/papayastack/src/membership/tests/cluster.rs
@@ -0,0 +1,276 @@
+//! A loop that carries messages between protocol machines in virtual time.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use crate::ids::{Incarnation, VmAddress};
+use crate::membership::message::{Record, decode};
+use crate::membership::protocol::{Outgoing, Protocol, TICK};
+use crate::membership::{MemberState, MembershipCounts, VmIdentity};
+use crate::settings::MembershipSettings;
+
+/// What happens to messages on their way.
+#[derive(Debug, Clone)]
+pub(super) struct Network {
+    pub(super) loss_permille: u32,
+    pub(super) duplicates_permille: u32,
+    pub(super) delay_max: Duration,
+    /// Pairs of groups of VM numbers that do not reach each other.
+    pub(super) cuts: Vec<(BTreeSet<usize>, BTreeSet<usize>)>,
+}
+
+impl Default for Network {
+    fn default() -> Self {
+        Self {
+            loss_permille: 0,
+            duplicates_permille: 0,
+            delay_max: Duration::from_millis(2),
+            cuts: Vec::new(),
+        }
+    }
+}
+
+struct InFlight {
+    sender: VmIdentity,
+    message: Outgoing,
+}
+
+/// One VM of the loop.
+struct Vm {
+    identity: VmIdentity,
+    protocol: Protocol,
+    running: bool,
+    /// What arrived while the VM was paused.
+    backlog: Vec<InFlight>,
+}
+
+/// Protocol machines, the messages between them, and a clock.
+pub(super) struct Cluster {
+    pub(super) network: Network,
+    pub(super) now: Instant,
+    vms: Vec<Vm>,
+    in_flight: BTreeMap<(Instant, u64), InFlight>,
+    sequence: u64,
+    random: SmallRng,
+    regions: BTreeMap<String, String>,
+    settings: MembershipSettings,
+}
+
+pub(super) fn address(vm: usize) -> VmAddress {
+    let [.., high, low] = (vm as u32).to_be_bytes();
+    ([10, 0, high, low], 7_000).into()
+}
+
+impl Cluster {
+    /// Creates `size` VMs that know each other as seeds; VM `n` is in data centre `data_centre(n)`.
+    pub(super) fn new(
+        size: usize,
+        random_seed: u64,
+        regions: &[(&str, &str)],
+        data_centre: impl Fn(usize) -> String,
+    ) -> Self {
+        let mut cluster = Self {
+            network: Network::default(),
+            now: Instant::now(),
+            vms: Vec::new(),
+            in_flight: BTreeMap::new(),
+            sequence: 0,
+            random: SmallRng::seed_from_u64(random_seed),
+            regions: regions.iter().map(|(a, b)| ((*a).to_owned(), (*b).to_owned())).collect(),
+            settings: MembershipSettings::default(),
+        };
+        for number in 0..size {
+            let vm = cluster.vm(number, 1, data_centre(number), size);
+            cluster.vms.push(vm);
+        }
+        cluster
+    }
+
+    /// Creates VMs of one region and lets them find each other.
+    pub(super) fn joined(size: usize, random_seed: u64) -> Self {
+        let mut cluster = Self::new(size, random_seed, &[], |_| "centro-a".to_owned());
+        cluster.run_until("all joined", Duration::from_secs(30), |it| {
+            (0..size).all(|vm| it.live(vm).len() == size)
+        });
+        cluster
+    }
+
+    /// Advances the clock by `duration`.
+    pub(super) fn run(&mut self, duration: Duration) {
+        let end = self.now + duration;
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    /// Advances the clock until `condition` holds; panics after `limit`.
+    pub(super) fn run_until(
+        &mut self,
+        what: &str,
+        limit: Duration,
+        condition: impl Fn(&Self) -> bool,
+    ) -> Duration {
+        let start = self.now;
+        while !condition(self) {
+            assert!(self.now - start < limit, "not within {limit:?}: {what}");
+            self.step();
+        }
+        self.now - start
+    }
+
+    /// Stops a VM without a word; nothing reaches it.
+    pub(super) fn kill(&mut self, vm: usize) {
+        self.vms[vm].running = false;
+        self.vms[vm].protocol.end(self.now);
+        self.vms[vm].protocol.take_outgoing();
+    }
+
+    /// Freezes a VM; what arrives waits for it.
+    pub(super) fn pause(&mut self, vm: usize) {
+        self.vms[vm].running = false;
+    }
+
+    /// Lets a frozen VM go on; what waited arrives at once.
+    pub(super) fn resume(&mut self, vm: usize) {
+        self.vms[vm].running = true;
+        for message in std::mem::take(&mut self.vms[vm].backlog) {
+            self.deliver(vm, message);
+        }
+    }
+
+    /// Starts a new process at the address of a VM.
+    pub(super) fn replace(&mut self, vm: usize, incarnation: Incarnation) {
+        let size = self.vms.len();
+        self.vms[vm] = self.vm(vm, incarnation, "centro-a".to_owned(), size);
+    }
+
+    pub(super) fn protocol(&mut self, vm: usize) -> &mut Protocol {
+        &mut self.vms[vm].protocol
+    }
+
+    /// Returns the VMs that `vm` takes for live or leaving, with their incarnations.
+    pub(super) fn live(&self, vm: usize) -> BTreeMap<VmAddress, Incarnation> {
+        let members = self.vms[vm].protocol.view().members;
+        members
+            .into_iter()
+            .map(|(address, member)| (address, member.identity.incarnation))
+            .collect()
+    }
+
+    pub(super) fn sees(&self, vm: usize, other: usize) -> bool {
+        self.live(vm).contains_key(&address(other))
+    }
+
+    /// Returns the regions that `vm` takes for unreachable.
+    pub(super) fn unreachable(&self, vm: usize) -> BTreeSet<String> {
+        self.vms[vm].protocol.view().unreachable_regions
+    }
+
+    /// Returns the configuration version of `other` as `vm` sees it; zero where it sees none.
+    pub(super) fn version(&self, vm: usize, other: usize) -> u64 {
+        let view = self.vms[vm].protocol.view();
+        view.members.get(&address(other)).map_or(0, |member| member.configuration_version)
+    }
+
+    /// Says whether `vm` knows that `other` is leaving.
+    pub(super) fn is_leaving(&self, vm: usize, other: usize) -> bool {
+        let view = self.vms[vm].protocol.view();
+        let member = view.members.get(&address(other));
+        member.is_some_and(|member| member.state == MemberState::Leaving)
+    }
+
+    pub(super) fn counts(&self, vm: usize) -> MembershipCounts {
+        self.vms[vm].protocol.counts()
+    }
+
+    fn vm(&self, number: usize, incarnation: Incarnation, data_centre: String, size: usize) -> Vm {
+        let identity = VmIdentity { address: address(number), incarnation };
+        let record = Record {
+            identity: identity.clone(),
+            sequence: 0,
+            leaving: false,
+            data_centre,
+            caller_address: ([10, 0, 0, 1], 8_000).into(),
+            configuration_version: 0,
+        };
+        let random_seed = number as u64 + 1_000 * incarnation;
+        let mut protocol = Protocol::new(record, self.settings.clone(), random_seed, self.now);
+        protocol.configure(self.settings.clone(), self.regions.clone());
+        protocol.on_seeds((0..size).map(address), self.now);
+        Vm { identity, protocol, running: true, backlog: Vec::new() }
+    }
+
+    fn step(&mut self) {
+        let end = self.now + TICK;
+        while let Some(entry) = self.in_flight.first_entry() {
+            if entry.key().0 > end {
+                break;
+            }
+            let ((arrival, _), message) = entry.remove_entry();
+            self.now = self.now.max(arrival);
+            let receiver = self.number(message.message.receiver);
+            self.deliver(receiver, message);
+        }
+        self.now = end;
+        for vm in 0..self.vms.len() {
+            if self.vms[vm].running {
+                self.vms[vm].protocol.on_tick(end);
+                self.carry(vm);
+            }
+        }
+    }
+
+    fn deliver(&mut self, receiver: usize, in_flight: InFlight) {
+        if !self.vms[receiver].running {
+            self.vms[receiver].backlog.push(in_flight);
+            return;
+        }
+        let Outgoing { incarnation, body, .. } = in_flight.message;
+        let message = decode(&body).expect("machines send what decodes");
+        let now = self.now;
+        self.vms[receiver].protocol.on_datagram(&in_flight.sender, incarnation, message, now);
+        self.carry(receiver);
+    }
+
+    /// Puts what `sender` has to send on its way.
+    fn carry(&mut self, sender: usize) {
+        let identity = self.vms[sender].identity.clone();
+        for message in self.vms[sender].protocol.take_outgoing() {
+            let receiver = self.number(message.receiver);
+            if self.is_cut(sender, receiver) || self.chance(self.network.loss_permille) {
+                continue;
+            }
+            let copies = 1 + usize::from(self.chance(self.network.duplicates_permille));
+            for _ in 0..copies {
+                let delay = self.random.random_range(Duration::ZERO..=self.network.delay_max);
+                self.sequence += 1;
+                let in_flight = InFlight { sender: identity.clone(), message: message.clone() };
+                self.in_flight.insert((self.now + delay, self.sequence), in_flight);
+            }
+        }
+    }
+
+    fn is_cut(&self, one: usize, other: usize) -> bool {
+        self.network.cuts.iter().any(|(left, right)| {
+            left.contains(&one) && right.contains(&other)
+                || left.contains(&other) && right.contains(&one)
+        })
+    }
+
+    fn chance(&mut self, permille: u32) -> bool {
+        self.random.random_range(0..1_000) < permille
+    }
+
+    fn number(&self, address: VmAddress) -> usize {
+        match address.ip() {
+            std::net::IpAddr::V4(ip) => {
+                let [_, _, high, low] = ip.octets();
+                usize::from(u16::from_be_bytes([high, low]))
+            }
+            std::net::IpAddr::V6(_) => unreachable!("the loop uses IPv4 only"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/papayastack/src/membership/tests/driver.rs
@@ -0,0 +1,148 @@
+//! The protocol on real sockets; verdicts do not depend on speed.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use tokio::net::UdpSocket;
+use tokio::sync::watch;
+
+use crate::membership::{Member, MemberState, MemberView, Membership, VmIdentity};
+use crate::platform::{
+    ListedState, ListedVm, Object, ObjectName, ObjectVersion, Platform, PlatformError, Precondition,
+};
+use crate::seal::Keyring;
+use crate::settings::MembershipSettings;
+
+/// A platform that only lists VMs.
+struct Listing(watch::Receiver<Vec<SocketAddr>>);
+
+#[async_trait]
+impl Platform for Listing {
+    async fn read(&self, _: &ObjectName) -> Result<Object, PlatformError> {
+        Err(PlatformError::NotFound)
+    }
+
+    async fn watch(
+        &self,
+        _: &ObjectName,
+        _: ObjectVersion,
+        _: Duration,
+    ) -> Result<Option<Object>, PlatformError> {
+        Err(PlatformError::NotFound)
+    }
+
+    async fn update(
+        &self,
+        _: &ObjectName,
+        _: Precondition,
+        _: serde_json::Value,
+    ) -> Result<ObjectVersion, PlatformError> {
+        Err(PlatformError::Unavailable)
+    }
+
+    async fn delete(&self, _: &ObjectName, _: ObjectVersion) -> Result<(), PlatformError> {
+        Err(PlatformError::Unavailable)
+    }
+
+    async fn list(&self, _: &str) -> Result<Vec<ObjectName>, PlatformError> {
+        Ok(Vec::new())
+    }
+
+    async fn vms(&self) -> Result<Vec<ListedVm>, PlatformError> {
+        let listed = |address: &SocketAddr| ListedVm {
+            address: *address,
+            data_centre: "centro-a".to_owned(),
+            entry_vm: true,
+            state: ListedState::Live,
+        };
+        Ok(self.0.borrow().iter().map(listed).collect())
+    }
+}
+
+async fn bind(platform: &Arc<dyn Platform>, key: &str) -> Membership {
+    let own = Member {
+        identity: VmIdentity { address: ([127, 0, 0, 1], 0).into(), incarnation: 1 },
+        data_centre: "centro-a".to_owned(),
+        caller_address: ([127, 0, 0, 1], 9).into(),
+        state: MemberState::Live,
+        configuration_version: 0,
+    };
+    let keyring = Arc::new(Keyring::new(&[key.repeat(16)]).unwrap());
+    let settings = MembershipSettings::default();
+    Membership::bind(own, settings, Arc::clone(platform), keyring).await.unwrap()
+}
+
+async fn cluster(size: usize) -> (Vec<Membership>, watch::Sender<Vec<SocketAddr>>) {
+    let (listing, listed) = watch::channel(Vec::new());
+    let platform: Arc<dyn Platform> = Arc::new(Listing(listed));
+    let mut vms = Vec::new();
+    for _ in 0..size {
+        vms.push(bind(&platform, "a").await);
+        listing.send_replace(vms.iter().map(Membership::address).collect());
+    }
+    (vms, listing)
+}
+
+async fn until(vm: &Membership, condition: impl Fn(&MemberView) -> bool) {
+    vm.view().wait_for(|view| condition(view)).await.unwrap();
+}
+
+#[tokio::test]
+async fn vms_on_sockets_join_share_versions_and_see_each_other_end() {
+    let (mut vms, _listing) = cluster(4).await;
+    for vm in &vms {
+        until(vm, |view| view.members.len() == 4).await;
+    }
+
+    vms[1].set_configuration_version(3);
+    let second = vms[1].address();
+    until(&vms[0], |view| view.members[&second].configuration_version == 3).await;
+    vms[1].leave();
+    until(&vms[0], |view| view.members[&second].state == MemberState::Leaving).await;
+    let leaver = vms.remove(1);
+    leaver.end().await;
+    let killed = vms.remove(1);
+    drop(killed);
+
+    for vm in &vms {
+        until(vm, |view| view.members.len() == 2).await;
+    }
+}
+
+#[tokio::test]
+async fn strangers_and_noise_are_counted_and_change_nothing() {
+    let (vms, listing) = cluster(2).await;
+    until(&vms[0], |view| view.members.len() == 2).await;
+    let platform: Arc<dyn Platform> = Arc::new(Listing(listing.subscribe()));
+    let stranger = bind(&platform, "b").await;
+    let noise = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+
+    noise.send_to(&[0; 9_000], vms[0].address()).await.unwrap();
+    noise.send_to(b"short", vms[0].address()).await.unwrap();
+    while vms[0].counts().dropped < 5 {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+
+    assert_eq!(vms[0].view().borrow().members.len(), 2);
+    assert_eq!(stranger.view().borrow().members.len(), 1);
+}
+
+#[tokio::test]
+async fn an_address_that_is_not_a_single_one_is_named() {
+    let (_listing, listed) = watch::channel(Vec::new());
+    let platform: Arc<dyn Platform> = Arc::new(Listing(listed));
+    let own = Member {
+        identity: VmIdentity { address: ([0, 0, 0, 0], 0).into(), incarnation: 1 },
+        data_centre: "centro-a".to_owned(),
+        caller_address: ([127, 0, 0, 1], 9).into(),
+        state: MemberState::Live,
+        configuration_version: 0,
+    };
+    let keyring = Arc::new(Keyring::new(&["a".repeat(16)]).unwrap());
+
+    let refused = Membership::bind(own, MembershipSettings::default(), platform, keyring).await;
+
+    assert!(refused.unwrap_err().to_string().contains("link_address"));
+}
--- /dev/null
+++ b/crates/papayastack/src/membership/tests/faults.rs
@@ -0,0 +1,120 @@
+//! Faults one at a time: deaths, pauses, replacements, cuts.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use super::cluster::{Cluster, address};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+#[test]
+fn four_vms_find_each_other_from_the_list() {
+    let cluster = Cluster::joined(4, 1);
+
+    assert_eq!(cluster.live(0).len(), 4);
+}
+
+#[test]
+fn a_killed_vm_is_out_of_every_view_within_a_second() {
+    let mut slow = 0;
+    for seed in 0..200 {
+        let mut cluster = Cluster::joined(4, seed);
+        cluster.run(SECOND + Duration::from_millis(seed * 7));
+        cluster.kill(3);
+        let took = cluster
+            .run_until("the death is known", 3 * SECOND, |it| (0..3).all(|vm| !it.sees(vm, 3)));
+        slow += usize::from(took >= SECOND);
+    }
+
+    assert!(slow <= 2, "{slow} of 200 took a second or longer");
+}
+
+#[test]
+fn a_paused_vm_is_out_of_use_and_heard_again_when_it_wakes() {
+    let mut cluster = Cluster::joined(4, 2);
+    cluster.pause(3);
+    cluster.run_until("the pause is noticed", 3 * SECOND, |it| (0..3).all(|vm| !it.sees(vm, 3)));
+    cluster.run(60 * SECOND);
+
+    cluster.resume(3);
+
+    cluster.run_until("it is heard", 3 * SECOND, |it| (0..3).all(|vm| it.sees(vm, 3)));
+    cluster.run(5 * SECOND);
+    for vm in 0..4 {
+        assert_eq!(cluster.live(vm).len(), 4, "as VM {vm} sees it");
+    }
+}
+
+#[test]
+fn a_replaced_vm_is_a_new_one_to_all() {
+    let mut cluster = Cluster::joined(4, 3);
+    cluster.kill(3);
+
+    cluster.replace(3, 2);
+
+    cluster.run_until("the new one is known", 5 * SECOND, |it| {
+        (0..4).all(|vm| it.live(vm).get(&address(3)) == Some(&2))
+    });
+}
+
+#[test]
+fn groups_that_declared_each_other_dead_find_each_other_again() {
+    let mut cluster = Cluster::joined(8, 4);
+    let (left, right): (BTreeSet<usize>, BTreeSet<usize>) = ((0..4).collect(), (4..8).collect());
+    cluster.network.cuts = vec![(left, right)];
+    cluster
+        .run_until("the cut is noticed", 10 * SECOND, |it| (0..8).all(|vm| it.live(vm).len() == 4));
+
+    cluster.network.cuts.clear();
+
+    cluster
+        .run_until("all are together", 20 * SECOND, |it| (0..8).all(|vm| it.live(vm).len() == 8));
+}
+
+#[test]
+fn regions_that_lose_each_other_keep_each_other_s_members() {
+    let regions = [("a", "north"), ("b", "north"), ("c", "south")];
+    let data_centre = |vm: usize| ["a", "b", "c", "c"][vm % 4].to_owned();
+    let mut cluster = Cluster::new(16, 5, &regions, data_centre);
+    cluster.run_until("all joined", 30 * SECOND, |it| (0..16).all(|vm| it.live(vm).len() == 16));
+    let (north, south): (BTreeSet<usize>, BTreeSet<usize>) = (0..16).partition(|vm| vm % 4 < 2);
+
+    cluster.network.cuts = vec![(north, south)];
+    cluster.run_until("the cut is noticed", 10 * SECOND, |it| {
+        (0..16).all(|vm| it.unreachable(vm).len() == 1)
+    });
+    cluster.run(300 * SECOND);
+    for vm in 0..16 {
+        assert_eq!(cluster.live(vm).len(), 16, "as VM {vm} sees it");
+        assert_eq!(cluster.counts(vm).suspicions, 0);
+    }
+    cluster.kill(1);
+    cluster.run(5 * SECOND);
+    assert!(!cluster.sees(0, 1));
+    assert!(cluster.sees(2, 1));
+
+    cluster.network.cuts.clear();
+
+    cluster.run_until("the cut is over", 30 * SECOND, |it| {
+        let running = (0..16).filter(|vm| *vm != 1);
+        running.clone().all(|vm| it.unreachable(vm).is_empty() && !it.sees(vm, 1))
+    });
+}
+
+#[test]
+fn configuration_versions_and_leaving_reach_everybody() {
+    let mut cluster = Cluster::joined(8, 6);
+    let now = cluster.now;
+
+    cluster.protocol(2).set_configuration_version(7);
+    cluster.protocol(3).leave();
+    cluster.run_until("both are known", 3 * SECOND, |it| {
+        (0..8).all(|vm| it.version(vm, 2) == 7 && it.is_leaving(vm, 3))
+    });
+    cluster.protocol(3).end(now);
+    let took = cluster.run_until("the end is known", 3 * SECOND, |it| {
+        (0..8).filter(|vm| *vm != 3).all(|vm| !it.sees(vm, 3))
+    });
+
+    assert!(took < Duration::from_millis(400), "an announced end took {took:?}");
+}
--- /dev/null
+++ b/crates/papayastack/src/membership/tests/mod.rs
@@ -0,0 +1,5 @@
+//! Tests of the membership protocol.
+
+mod cluster;
+mod driver;
+mod faults;
--- a/crates/papayastack/src/membership/view.rs
+++ b/crates/papayastack/src/membership/view.rs
@@ -1,11 +1,11 @@
 //! The view of the live VMs that other slices read.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use papayastack_macros::{closed_set, message, value};
 
-use crate::ids::{DataCentreName, Incarnation, VmAddress};
+use crate::ids::{DataCentreName, Incarnation, RegionName, VmAddress};
 
 /// Identifies one process on one VM; addresses are reused, incarnations are not.
 #[message]
@@ -47,6 +47,8 @@
 pub struct MemberView {
     /// The members by address; one incarnation each.
     pub members: BTreeMap<VmAddress, Member>,
+    /// The regions that do not answer at all; their members are kept as last heard.
+    pub unreachable_regions: BTreeSet<RegionName>,
 }
 
 impl MemberView {
--- a/crates/papayastack/src/routing/tests.rs
+++ b/crates/papayastack/src/routing/tests.rs
@@ -18,7 +18,7 @@
 
 fn view(members: &[Member]) -> MemberView {
     let by_address = members.iter().map(|member| (member.identity.address, member.clone()));
-    MemberView { members: by_address.collect() }
+    MemberView { members: by_address.collect(), ..MemberView::default() }
 }
 
 #[test]
--- a/crates/papayastack/src/vm/follow.rs
+++ b/crates/papayastack/src/vm/follow.rs
@@ -31,7 +31,8 @@
     own: Member,
 ) -> Followed {
     let (in_force, in_force_seen) = watch::channel(None);
-    let own_view = MemberView { members: BTreeMap::from([(own.identity.address, own.clone())]) };
+    let members = BTreeMap::from([(own.identity.address, own.clone())]);
+    let own_view = MemberView { members, ..MemberView::default() };
     let (members, members_seen) = watch::channel(Arc::new(own_view));
     let task = tokio::spawn(async move {
         loop {
@@ -84,7 +85,7 @@
     let mut members: BTreeMap<_, _> =
         entries.map(|member| (member.identity.address, member)).collect();
     members.insert(own.identity.address, own.clone());
-    Ok(MemberView { members })
+    Ok(MemberView { members, ..MemberView::default() })
 }
 
 fn parse<T: serde::de::DeserializeOwned>(object: &Object) -> Result<T, PlatformError> {
