--- a/crates/papayastack/src/lib.rs
+++ b/crates/papayastack/src/lib.rs
@@ -11,6 +11,7 @@
 //! | `catalogue` | snapshots and shard maps |
 //! | `configuration` | the accepted bundle and what is in force |
 //! | `membership` | which VMs are live |
+//! | `addresses` | addresses for callers, and how a VM leaves |
 //! | `routing` | owners of upstreams, the directory that a query pins |
 //! | `admission` | how many queries run at once |
 //! | `query` | the decisions of a fan-out |
@@ -22,6 +23,7 @@
 //! | `caller` | the callers' protocol and HTTP server |
 //! | `observe` | trace contexts, spans, logs, metrics |
 
+mod addresses;
 mod admission;
 mod caller;
 mod catalogue;
@@ -40,6 +42,7 @@
 mod upstream;
 mod vm;
 
+pub use addresses::*;
 pub use admission::*;
 pub use caller::*;
 pub use catalogue::*;
