--- a/crates/papayastack/src/membership/tests/cluster.rs
+++ b/crates/papayastack/src/membership/tests/cluster.rs
@@ -9,7 +9,7 @@
 use crate::ids::{Incarnation, VmAddress};
 use crate::membership::message::{Record, decode};
 use crate::membership::protocol::{Outgoing, Protocol, TICK};
-use crate::membership::{MemberState, MembershipCounts, VmIdentity};
+use crate::membership::{MemberState, MemberView, MembershipCounts, VmIdentity};
 use crate::settings::MembershipSettings;
 
 /// What happens to messages on their way.
@@ -20,6 +20,8 @@
     pub(super) delay_max: Duration,
     /// Pairs of groups of VM numbers that do not reach each other.
     pub(super) cuts: Vec<(BTreeSet<usize>, BTreeSet<usize>)>,
+    /// VMs that nothing reaches, though others hear them.
+    pub(super) deaf: BTreeSet<usize>,
 }
 
 impl Default for Network {
@@ -29,6 +31,7 @@
             duplicates_permille: 0,
             delay_max: Duration::from_millis(2),
             cuts: Vec::new(),
+            deaf: BTreeSet::new(),
         }
     }
 }
@@ -151,9 +154,13 @@
         &mut self.vms[vm].protocol
     }
 
+    pub(super) fn view(&self, vm: usize) -> MemberView {
+        self.vms[vm].protocol.view()
+    }
+
     /// Returns the VMs that `vm` takes for live or leaving, with their incarnations.
     pub(super) fn live(&self, vm: usize) -> BTreeMap<VmAddress, Incarnation> {
-        let members = self.vms[vm].protocol.view().members;
+        let members = self.view(vm).members;
         members
             .into_iter()
             .map(|(address, member)| (address, member.identity.incarnation))
@@ -166,18 +173,18 @@
 
     /// Returns the regions that `vm` takes for unreachable.
     pub(super) fn unreachable(&self, vm: usize) -> BTreeSet<String> {
-        self.vms[vm].protocol.view().unreachable_regions
+        self.view(vm).unreachable_regions
     }
 
     /// Returns the configuration version of `other` as `vm` sees it; zero where it sees none.
     pub(super) fn version(&self, vm: usize, other: usize) -> u64 {
-        let view = self.vms[vm].protocol.view();
+        let view = self.view(vm);
         view.members.get(&address(other)).map_or(0, |member| member.configuration_version)
     }
 
     /// Says whether `vm` knows that `other` is leaving.
     pub(super) fn is_leaving(&self, vm: usize, other: usize) -> bool {
-        let view = self.vms[vm].protocol.view();
+        let view = self.view(vm);
         let member = view.members.get(&address(other));
         member.is_some_and(|member| member.state == MemberState::Leaving)
     }
@@ -253,11 +260,12 @@
         }
     }
 
-    fn is_cut(&self, one: usize, other: usize) -> bool {
-        self.network.cuts.iter().any(|(left, right)| {
-            left.contains(&one) && right.contains(&other)
-                || left.contains(&other) && right.contains(&one)
-        })
+    fn is_cut(&self, sender: usize, receiver: usize) -> bool {
+        let across = |(left, right): &(BTreeSet<usize>, BTreeSet<usize>)| {
+            left.contains(&sender) && right.contains(&receiver)
+                || left.contains(&receiver) && right.contains(&sender)
+        };
+        self.network.deaf.contains(&receiver) || self.network.cuts.iter().any(across)
     }
 
     fn chance(&mut self, permille: u32) -> bool {
--- a/crates/papayastack/src/membership/tests/faults.rs
+++ b/crates/papayastack/src/membership/tests/faults.rs
@@ -43,6 +43,73 @@
     for vm in 0..4 {
         assert_eq!(cluster.live(vm).len(), 4, "as VM {vm} sees it");
     }
+    assert_eq!(cluster.counts(3).suspicions, 0, "it blamed others for its own pause");
+}
+
+#[test]
+fn two_vms_that_do_not_reach_each_other_ask_others_before_they_judge() {
+    let mut cluster = Cluster::joined(6, 7);
+    cluster.network.cuts = vec![(BTreeSet::from([0]), BTreeSet::from([1]))];
+
+    cluster.run(60 * SECOND);
+
+    let suspicions: u64 = (0..6).map(|vm| cluster.counts(vm).suspicions).sum();
+    assert_eq!(suspicions, 0);
+}
+
+#[test]
+fn a_vm_that_hears_nobody_for_a_while_declares_nobody_dead() {
+    let mut cluster = Cluster::joined(6, 8);
+    cluster.network.deaf = BTreeSet::from([0]);
+    cluster.run(Duration::from_millis(1_500));
+    cluster.network.deaf.clear();
+
+    cluster.run(5 * SECOND);
+
+    assert_eq!(cluster.counts(0).deaths, 0);
+    for vm in 0..6 {
+        assert_eq!(cluster.live(vm).len(), 6, "as VM {vm} sees it");
+    }
+}
+
+#[test]
+fn a_lossy_network_kills_nobody_for_long() {
+    let mut cluster = Cluster::joined(12, 9);
+    cluster.network.loss_permille = 200;
+    let mut absent = 0;
+    let mut looked_at = 0;
+    for _ in 0..600 {
+        cluster.run(SECOND / 10);
+        absent += (0..12).map(|vm| 12 - cluster.live(vm).len()).sum::<usize>();
+        looked_at += 12 * 12;
+    }
+    let suspicions: u64 = (0..12).map(|vm| cluster.counts(vm).suspicions).sum();
+
+    assert!(suspicions > 0, "a loss of a fifth must raise suspicions, else nothing is tested");
+    assert!(absent * 1_000 <= looked_at, "{absent} of {looked_at} looks missed a live VM");
+}
+
+#[test]
+fn what_an_earlier_process_left_in_flight_changes_nothing() {
+    let mut cluster = Cluster::joined(4, 10);
+    cluster.network.delay_max = 2 * SECOND;
+    cluster.network.duplicates_permille = 300;
+    cluster.run(2 * SECOND);
+    cluster.protocol(3).leave();
+    cluster.run(SECOND / 10);
+    cluster.replace(3, 2);
+    cluster.network.delay_max = Duration::from_millis(2);
+    cluster.run_until("the new one is known", 5 * SECOND, |it| {
+        (0..3).all(|vm| it.live(vm).get(&address(3)) == Some(&2))
+    });
+
+    for _ in 0..100 {
+        cluster.run(SECOND / 20);
+        for vm in 0..3 {
+            assert_eq!(cluster.live(vm).get(&address(3)), Some(&2), "as VM {vm} sees it");
+            assert!(!cluster.is_leaving(vm, 3));
+        }
+    }
 }
 
 #[test]
--- a/crates/papayastack/src/membership/tests/mod.rs
+++ b/crates/papayastack/src/membership/tests/mod.rs
@@ -3,3 +3,4 @@
 mod cluster;
 mod driver;
 mod faults;
+mod interleavings;
