--- a/crates/papayastack/src/membership/driver.rs
+++ b/crates/papayastack/src/membership/driver.rs
@@ -18,9 +18,8 @@
 use crate::seal::{DATAGRAM_MAX_BYTES, DatagramOpener, DatagramSealer, Keyring};
 use crate::settings::{DataCentreSettings, MembershipSettings, Settings};
 
-use super::message::{Record, decode};
-use super::protocol::{Protocol, TICK, ViewChange};
-use super::{Member, MemberState, MemberView, MembershipCounts};
+use super::protocol::{MEMBERSHIP_TICK, MembershipProtocol, ViewChange};
+use super::{Member, MemberView, MembershipCounts};
 
 const LOG: &str = "papaya::membership";
 
@@ -150,7 +149,7 @@
     ) -> Self {
         let identity = own.identity.clone();
         let now = Instant::now();
-        let protocol = Protocol::new(record_of(own), settings, rand::rng().random(), now);
+        let protocol = MembershipProtocol::new(own, settings, rand::rng().random(), now);
         let (view_sender, view) = watch::channel(Arc::new(protocol.view()));
         let (commands, command_receiver) = mpsc::unbounded_channel();
         let (seed_sender, seeds) = mpsc::channel(1);
@@ -198,7 +197,7 @@
 /// The state of the task.
 struct Runner {
     socket: UdpSocket,
-    protocol: Protocol,
+    protocol: MembershipProtocol,
     sealer: DatagramSealer,
     opener: DatagramOpener,
     view: watch::Sender<Arc<MemberView>>,
@@ -214,7 +213,7 @@
         mut commands: mpsc::UnboundedReceiver<Command>,
         mut seeds: mpsc::Receiver<Vec<VmAddress>>,
     ) {
-        let mut ticks = interval(TICK);
+        let mut ticks = interval(MEMBERSHIP_TICK);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         // One byte more than the limit tells a datagram that was cut off.
         let mut buffer = [0; DATAGRAM_MAX_BYTES + 1];
@@ -260,13 +259,12 @@
             self.traffic.dropped += 1;
             return;
         };
-        let Some(message) = decode(opened.body) else {
+        let meant = opened.receiver_incarnation;
+        let taken = self.protocol.on_datagram(&opened.sender, meant, opened.body, Instant::now());
+        if taken.is_err() {
             self.opener.count_malformed();
             self.traffic.dropped += 1;
-            return;
-        };
-        let meant = opened.receiver_incarnation;
-        self.protocol.on_datagram(&opened.sender, meant, message, Instant::now());
+        }
     }
 
     /// Carries out a command; returns whom to tell if it was the last one.
@@ -368,17 +366,6 @@
     pause.max(doubled).mul_f64(jitter)
 }
 
-fn record_of(own: Member) -> Record {
-    Record {
-        identity: own.identity,
-        sequence: 0,
-        leaving: own.state == MemberState::Leaving,
-        data_centre: own.data_centre,
-        caller_address: own.caller_address,
-        configuration_version: own.configuration_version,
-    }
-}
-
 fn log_changes(before: &MemberView, after: &MemberView) {
     for (address, member) in &after.members {
         if before.members.get(address).is_none_or(|known| known.identity != member.identity) {
--- a/crates/papayastack/src/membership/protocol/bridging.rs
+++ b/crates/papayastack/src/membership/protocol/bridging.rs
@@ -10,7 +10,7 @@
 use crate::membership::regions::contacts;
 use crate::membership::updates::UpdateQueue;
 
-use super::{Protocol, ViewChange};
+use super::{MembershipProtocol, ViewChange};
 
 const CONTACT_INTERVAL: Duration = Duration::from_millis(500);
 const COMPARE_EVERY_CONTACTS: u64 = 20;
@@ -59,7 +59,7 @@
     }
 }
 
-impl Protocol {
+impl MembershipProtocol {
     /// Probes one contact of each region that this VM is a contact for.
     pub(super) fn contact_regions(&mut self, now: Instant) {
         if now < self.bridges.next_at {
--- a/crates/papayastack/src/membership/protocol/comparing.rs
+++ b/crates/papayastack/src/membership/protocol/comparing.rs
@@ -10,7 +10,7 @@
 use crate::membership::VmIdentity;
 use crate::membership::message::{Purpose, Record, Update, encode};
 
-use super::Protocol;
+use super::MembershipProtocol;
 use super::peers::{Peer, address_hash};
 use super::sending::SPREAD_MAX_BYTES;
 
@@ -22,7 +22,7 @@
 const BUCKETS_MAX: usize = 128;
 const PAGES_PER_ANSWER: usize = 4;
 
-impl Protocol {
+impl MembershipProtocol {
     /// Compares with a random neighbour; often while that brings news, else seldom.
     pub(super) fn compare_with_somebody(&mut self, now: Instant) {
         if now < self.compare_at {
--- a/crates/papayastack/src/membership/protocol/merging.rs
+++ b/crates/papayastack/src/membership/protocol/merging.rs
@@ -6,7 +6,7 @@
 use crate::membership::message::{Claim, Record, Update, VersionNote};
 use crate::membership::standing::Evidence;
 
-use super::{Protocol, ViewChange};
+use super::{MembershipProtocol, ViewChange};
 
 /// How much longer a VM that hears no neighbour at all waits before it declares them dead.
 const ALONE_FACTOR: u32 = 4;
@@ -22,7 +22,7 @@
     Unknown,
 }
 
-impl Protocol {
+impl MembershipProtocol {
     pub(super) fn merge_all(&mut self, updates: Vec<Update>, now: Instant) {
         for update in updates {
             match update {
--- a/crates/papayastack/src/membership/protocol/mod.rs
+++ b/crates/papayastack/src/membership/protocol/mod.rs
@@ -28,13 +28,14 @@
 use self::peers::Peers;
 use self::probing::Probes;
 use super::budget::ByteBudget;
-use super::message::{Message, Purpose, Record, Update, VersionNote};
+use super::message::{Message, Purpose, Record, Update, VersionNote, decode};
 use super::regions::Regions;
 use super::updates::UpdateQueue;
-use super::{MemberView, MembershipCounts, VmIdentity};
+use super::{Member, MemberView, MembershipCounts, VmIdentity};
+use crate::seal::SealError;
 
-/// How often [`Protocol::on_tick`] expects to be called.
-pub(crate) const TICK: Duration = Duration::from_millis(20);
+/// How often [`MembershipProtocol::on_tick`] expects to be called.
+pub const MEMBERSHIP_TICK: Duration = Duration::from_millis(20);
 
 const STALL_AFTER: Duration = Duration::from_millis(150);
 const SEED_RETRY: Duration = Duration::from_millis(500);
@@ -43,18 +44,18 @@
 
 /// A message to be sealed and sent.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct Outgoing {
+pub struct MembershipDatagram {
     /// The receiver.
-    pub(crate) receiver: VmAddress,
+    pub receiver: VmAddress,
     /// The process that is meant, if it is known.
-    pub(crate) incarnation: Option<Incarnation>,
+    pub incarnation: Option<Incarnation>,
     /// The encoded message.
-    pub(crate) body: Vec<u8>,
+    pub body: Vec<u8>,
 }
 
 /// How much of the view has changed since it was last asked for.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum ViewChange {
+pub enum ViewChange {
     /// Nothing.
     #[default]
     None,
@@ -66,7 +67,7 @@
 
 /// The machine of one VM.
 #[derive(Debug)]
-pub(crate) struct Protocol {
+pub struct MembershipProtocol {
     own: Record,
     gone: bool,
     settings: MembershipSettings,
@@ -83,21 +84,16 @@
     ticked_at: Instant,
     neighbour_heard_at: Instant,
     random: SmallRng,
-    outbox: Vec<Outgoing>,
+    outbox: Vec<MembershipDatagram>,
     view_change: ViewChange,
     counts: MembershipCounts,
 }
 
-impl Protocol {
+impl MembershipProtocol {
     /// Creates the machine of the VM that `own` describes.
-    pub(crate) fn new(
-        own: Record,
-        settings: MembershipSettings,
-        random_seed: u64,
-        now: Instant,
-    ) -> Self {
+    pub fn new(own: Member, settings: MembershipSettings, random_seed: u64, now: Instant) -> Self {
         Self {
-            own,
+            own: peers::record_of(own),
             gone: false,
             settings,
             regions: Regions::default(),
@@ -119,45 +115,26 @@
         }
     }
 
-    /// Takes an authentic datagram's message.
-    pub(crate) fn on_datagram(
+    /// Takes the body of an authentic datagram, and the process that it was meant for.
+    ///
+    /// # Errors
+    /// The body does not decode; nothing has changed.
+    pub fn on_datagram(
         &mut self,
         sender: &VmIdentity,
         meant: Option<Incarnation>,
-        message: Message,
+        body: &[u8],
         now: Instant,
-    ) {
-        if self.gone || sender.address == self.own.identity.address {
-            return;
-        }
-        let Message(purpose, updates) = message;
-        let claimed = updates.iter().any(|update| self.is_claim_against_own(update));
-        self.merge_all(updates, now);
-        let acquaintance = self.note_heard(sender, now);
-        if claimed {
-            self.send_introduction(sender);
-        }
-        if meant.is_some_and(|incarnation| incarnation != self.own.identity.incarnation) {
-            self.send_introduction(sender);
-            return;
+    ) -> Result<(), SealError> {
+        let message = decode(body).ok_or(SealError::Malformed)?;
+        if !self.gone && sender.address != self.own.identity.address {
+            self.on_message(sender, meant, message, now);
         }
-        match purpose {
-            Purpose::Probe(number) => self.send_acknowledgement(sender, number, acquaintance),
-            Purpose::ProbeFor(number, target) => {
-                self.probe_on_behalf(sender, number, target, now);
-            }
-            Purpose::Acknowledge(number) => self.on_acknowledgement(sender, number),
-            Purpose::Introduce => self.send_introduction(sender),
-            Purpose::Compare { digests, mutual } => {
-                self.answer_comparison(sender, &digests, mutual, now);
-            }
-            Purpose::Spread => {}
-        }
-        self.ask_for_statement(sender, acquaintance);
+        Ok(())
     }
 
-    /// Does what is due at `now`; called about once in each [`TICK`].
-    pub(crate) fn on_tick(&mut self, now: Instant) {
+    /// Does what is due at `now`; called about once in each [`MEMBERSHIP_TICK`].
+    pub fn on_tick(&mut self, now: Instant) {
         if self.gone {
             return;
         }
@@ -177,14 +154,14 @@
     }
 
     /// Takes the platform's list of VMs, which only says where others may be found.
-    pub(crate) fn on_seeds(&mut self, listed: impl IntoIterator<Item = VmAddress>, now: Instant) {
+    pub fn on_seeds(&mut self, listed: impl IntoIterator<Item = VmAddress>, now: Instant) {
         let own = self.own.identity.address;
         self.seeds = listed.into_iter().filter(|address| *address != own).take(SEEDS_MAX).collect();
         self.seed_retry_at = self.seed_retry_at.min(now);
     }
 
     /// Takes new settings and the region of each data centre.
-    pub(crate) fn configure(
+    pub fn configure(
         &mut self,
         settings: MembershipSettings,
         regions: BTreeMap<DataCentreName, RegionName>,
@@ -196,7 +173,7 @@
     }
 
     /// Tells the others that this VM has a version of the configuration in force.
-    pub(crate) fn set_configuration_version(&mut self, version: u64) {
+    pub fn set_configuration_version(&mut self, version: u64) {
         if version <= self.own.configuration_version {
             return;
         }
@@ -207,7 +184,7 @@
     }
 
     /// Tells the others where callers reach this VM.
-    pub(crate) fn set_caller_address(&mut self, caller_address: SocketAddr) {
+    pub fn set_caller_address(&mut self, caller_address: SocketAddr) {
         if self.own.caller_address != caller_address {
             self.own.caller_address = caller_address;
             self.state_own();
@@ -215,7 +192,7 @@
     }
 
     /// Tells the others that this VM takes no new work.
-    pub(crate) fn leave(&mut self) {
+    pub fn leave(&mut self) {
         if !self.own.leaving {
             self.own.leaving = true;
             self.state_own();
@@ -223,23 +200,23 @@
     }
 
     /// Tells the others at once that this VM has ended, and falls silent.
-    pub(crate) fn end(&mut self, now: Instant) {
+    pub fn end(&mut self, now: Instant) {
         self.announce_end(now);
         self.gone = true;
     }
 
     /// Takes the messages that are to be sent.
-    pub(crate) fn take_outgoing(&mut self) -> Vec<Outgoing> {
+    pub fn take_outgoing(&mut self) -> Vec<MembershipDatagram> {
         std::mem::take(&mut self.outbox)
     }
 
     /// Says what has changed in the view since the last call.
-    pub(crate) fn take_view_change(&mut self) -> ViewChange {
+    pub fn take_view_change(&mut self) -> ViewChange {
         std::mem::take(&mut self.view_change)
     }
 
     /// Builds the view.
-    pub(crate) fn view(&self) -> MemberView {
+    pub fn view(&self) -> MemberView {
         let own = peers::member_of(&self.own);
         let peers = self.peers.members();
         MemberView {
@@ -249,15 +226,48 @@
     }
 
     /// Returns how many VMs are known to be live or leaving, this one included.
-    pub(crate) fn members_count(&self) -> usize {
+    pub fn members_count(&self) -> usize {
         self.peers.live_count() + 1
     }
 
     /// Returns what was counted since the start.
-    pub(crate) fn counts(&self) -> MembershipCounts {
+    pub fn counts(&self) -> MembershipCounts {
         self.counts.clone()
     }
 
+    fn on_message(
+        &mut self,
+        sender: &VmIdentity,
+        meant: Option<Incarnation>,
+        message: Message,
+        now: Instant,
+    ) {
+        let Message(purpose, updates) = message;
+        let claimed = updates.iter().any(|update| self.is_claim_against_own(update));
+        self.merge_all(updates, now);
+        let acquaintance = self.note_heard(sender, now);
+        if claimed {
+            self.send_introduction(sender, now);
+        }
+        if meant.is_some_and(|incarnation| incarnation != self.own.identity.incarnation) {
+            self.send_introduction(sender, now);
+            return;
+        }
+        match purpose {
+            Purpose::Probe(number) => self.send_acknowledgement(sender, number, acquaintance),
+            Purpose::ProbeFor(number, target) => {
+                self.probe_on_behalf(sender, number, target, now);
+            }
+            Purpose::Acknowledge(number) => self.on_acknowledgement(sender, number),
+            Purpose::Introduce => self.send_introduction(sender, now),
+            Purpose::Compare { digests, mutual } => {
+                self.answer_comparison(sender, &digests, mutual, now);
+            }
+            Purpose::Spread => {}
+        }
+        self.ask_for_statement(sender, acquaintance, now);
+    }
+
     /// Probes a few listed addresses that are not members, so that parted groups find each other.
     fn retry_seeds(&mut self, now: Instant) {
         if now < self.seed_retry_at {
--- a/crates/papayastack/src/membership/protocol/peers.rs
+++ b/crates/papayastack/src/membership/protocol/peers.rs
@@ -250,6 +250,18 @@
     }
 }
 
+/// Turns a VM's description of itself into its first statement.
+pub(crate) fn record_of(own: Member) -> Record {
+    Record {
+        identity: own.identity,
+        sequence: 0,
+        leaving: own.state == MemberState::Leaving,
+        data_centre: own.data_centre,
+        caller_address: own.caller_address,
+        configuration_version: own.configuration_version,
+    }
+}
+
 /// Hashes an address to choose its bucket.
 pub(crate) fn address_hash(address: VmAddress) -> u64 {
     XxHash3_64::oneshot(address.to_string().as_bytes())
--- a/crates/papayastack/src/membership/protocol/probing.rs
+++ b/crates/papayastack/src/membership/protocol/probing.rs
@@ -7,7 +7,7 @@
 use crate::membership::VmIdentity;
 use crate::membership::message::{ProbeNumber, Purpose};
 
-use super::Protocol;
+use super::MembershipProtocol;
 
 const PROBES_PER_INTERVAL: usize = 2;
 const SUSPECTS_PER_INTERVAL: usize = 2;
@@ -55,7 +55,7 @@
     }
 }
 
-impl Protocol {
+impl MembershipProtocol {
     /// Probes the next peers of the rotation, and suspects again so that they can refute.
     pub(super) fn start_probes(&mut self, now: Instant) {
         if now < self.probes.next_at {
--- a/crates/papayastack/src/membership/protocol/sending.rs
+++ b/crates/papayastack/src/membership/protocol/sending.rs
@@ -7,7 +7,7 @@
 use crate::membership::message::{Claim, Message, ProbeNumber, Purpose, Update, encode};
 
 use super::merging::Acquaintance;
-use super::{Outgoing, Protocol};
+use super::{MembershipDatagram, MembershipProtocol};
 
 /// The most bytes of updates on a probe or an acknowledgement.
 pub(super) const PIGGYBACK_MAX_BYTES: usize = 400;
@@ -20,7 +20,7 @@
 const TRANSMISSIONS_PER_DOUBLING: u32 = 2;
 const CONTENT_OVERHEAD_BYTES: usize = 100;
 
-impl Protocol {
+impl MembershipProtocol {
     /// Queues news for the own region, and for other regions where this VM is a contact.
     pub(super) fn enqueue(&mut self, update: Update) {
         self.bridges.enqueue(&update);
@@ -59,13 +59,26 @@
         self.send_to(receiver, Purpose::Acknowledge(number), updates);
     }
 
-    pub(super) fn send_introduction(&mut self, receiver: &VmIdentity) {
+    /// Sends this VM's own record, within the budget.
+    pub(super) fn send_introduction(&mut self, receiver: &VmIdentity, now: Instant) {
+        if !self.budget.spend(CONTENT_OVERHEAD_BYTES, now) {
+            return;
+        }
         let own = Update::Record(self.own.clone());
         self.send_to(receiver, Purpose::Spread, vec![own]);
     }
 
-    /// Asks a sender that is not known well for a statement about itself.
-    pub(super) fn ask_for_statement(&mut self, sender: &VmIdentity, acquaintance: Acquaintance) {
+    /// Asks a sender that is not known well for a statement about itself, within the budget.
+    pub(super) fn ask_for_statement(
+        &mut self,
+        sender: &VmIdentity,
+        acquaintance: Acquaintance,
+        now: Instant,
+    ) {
+        let needed = acquaintance != Acquaintance::Good;
+        if !needed || !self.budget.spend(CONTENT_OVERHEAD_BYTES, now) {
+            return;
+        }
         match acquaintance {
             Acquaintance::Good => {}
             Acquaintance::Doubted => {
@@ -127,7 +140,7 @@
     ) {
         let body = encode(&Message(purpose, updates));
         let incarnation = Some(receiver.incarnation);
-        self.outbox.push(Outgoing { receiver: receiver.address, incarnation, body });
+        self.outbox.push(MembershipDatagram { receiver: receiver.address, incarnation, body });
     }
 
     /// Takes the updates that ride on a message to `receiver`.
@@ -147,7 +160,7 @@
 
     fn send_unaddressed(&mut self, receiver: VmAddress, purpose: Purpose, updates: Vec<Update>) {
         let body = encode(&Message(purpose, updates));
-        self.outbox.push(Outgoing { receiver, incarnation: None, body });
+        self.outbox.push(MembershipDatagram { receiver, incarnation: None, body });
     }
 
     fn claims_against(&self, address: VmAddress) -> Vec<Update> {
--- a/crates/papayastack/src/membership/tests/cluster.rs
+++ b/crates/papayastack/src/membership/tests/cluster.rs
@@ -7,9 +7,10 @@
 use rand::{Rng, SeedableRng};
 
 use crate::ids::{Incarnation, VmAddress};
-use crate::membership::message::{Record, decode};
-use crate::membership::protocol::{Outgoing, Protocol, TICK};
-use crate::membership::{MemberState, MemberView, MembershipCounts, VmIdentity};
+use crate::membership::{
+    MEMBERSHIP_TICK, Member, MemberState, MemberView, MembershipCounts, MembershipDatagram,
+    MembershipProtocol, VmIdentity,
+};
 use crate::settings::MembershipSettings;
 
 /// What happens to messages on their way.
@@ -38,19 +39,19 @@
 
 struct InFlight {
     sender: VmIdentity,
-    message: Outgoing,
+    message: MembershipDatagram,
 }
 
 /// One VM of the loop.
 struct Vm {
     identity: VmIdentity,
-    protocol: Protocol,
+    protocol: MembershipProtocol,
     running: bool,
     /// What arrived while the VM was paused.
     backlog: Vec<InFlight>,
 }
 
-/// Protocol machines, the messages between them, and a clock.
+/// MembershipProtocol machines, the messages between them, and a clock.
 pub(super) struct Cluster {
     pub(super) network: Network,
     pub(super) now: Instant,
@@ -150,7 +151,7 @@
         self.vms[vm] = self.vm(vm, incarnation, "centro-a".to_owned(), size);
     }
 
-    pub(super) fn protocol(&mut self, vm: usize) -> &mut Protocol {
+    pub(super) fn protocol(&mut self, vm: usize) -> &mut MembershipProtocol {
         &mut self.vms[vm].protocol
     }
 
@@ -195,23 +196,23 @@
 
     fn vm(&self, number: usize, incarnation: Incarnation, data_centre: String, size: usize) -> Vm {
         let identity = VmIdentity { address: address(number), incarnation };
-        let record = Record {
+        let own = Member {
             identity: identity.clone(),
-            sequence: 0,
-            leaving: false,
+            state: MemberState::Live,
             data_centre,
             caller_address: ([10, 0, 0, 1], 8_000).into(),
             configuration_version: 0,
         };
         let random_seed = number as u64 + 1_000 * incarnation;
-        let mut protocol = Protocol::new(record, self.settings.clone(), random_seed, self.now);
+        let mut protocol =
+            MembershipProtocol::new(own, self.settings.clone(), random_seed, self.now);
         protocol.configure(self.settings.clone(), self.regions.clone());
         protocol.on_seeds((0..size).map(address), self.now);
         Vm { identity, protocol, running: true, backlog: Vec::new() }
     }
 
     fn step(&mut self) {
-        let end = self.now + TICK;
+        let end = self.now + MEMBERSHIP_TICK;
         while let Some(entry) = self.in_flight.first_entry() {
             if entry.key().0 > end {
                 break;
@@ -235,10 +236,10 @@
             self.vms[receiver].backlog.push(in_flight);
             return;
         }
-        let Outgoing { incarnation, body, .. } = in_flight.message;
-        let message = decode(&body).expect("machines send what decodes");
+        let MembershipDatagram { incarnation, body, .. } = in_flight.message;
         let now = self.now;
-        self.vms[receiver].protocol.on_datagram(&in_flight.sender, incarnation, message, now);
+        let protocol = &mut self.vms[receiver].protocol;
+        protocol.on_datagram(&in_flight.sender, incarnation, &body, now).unwrap();
         self.carry(receiver);
     }
 
--- a/crates/papayastack/src/membership/tests/interleavings.rs
+++ b/crates/papayastack/src/membership/tests/interleavings.rs
@@ -158,6 +158,7 @@
         cases,
         rng_seed: RngSeed::Fixed(5),
         failure_persistence: None,
+        max_shrink_iters: 32,
         ..Default::default()
     }
 }
