Hedge stragglers only, and settle the quantile tracker

The tracker read 1,028 ms for a quantile of values below 1,000 ms: its step of 5% overshoots. Ruled out: a smaller hedge budget, which would also starve the hedges of real stragglers. Change: an attempt is hedged past its quantile and past twice its mean; the tracker's step shrinks to 1% as samples come. Conclusion: calm runs are no longer hedged for being on time.

--- a/crates/papayastack/src/query/fanout.rs
+++ b/crates/papayastack/src/query/fanout.rs
@@ -22,6 +22,8 @@
 const RETRY_PAUSE_MAX: Duration = Duration::from_millis(250);
 /// The hedge delay before latencies are known.
 const HEDGE_DELAY_INITIAL: Duration = Duration::from_millis(100);
+/// How many times the mean latency an attempt must take before it is hedged.
+const HEDGE_MEAN_FACTOR: u32 = 2;
 /// The shortest hedge delay.
 const HEDGE_DELAY_MIN: Duration = Duration::from_millis(1);
 
@@ -493,9 +495,7 @@
         if !self.spec.class.hedge || !more_replicas || self.progress[shard].hedged {
             return;
         }
-        let known = context.latencies[shard].estimate();
-        let delay = known.unwrap_or(HEDGE_DELAY_INITIAL).max(HEDGE_DELAY_MIN);
-        self.set_timer(shard, context.now + delay);
+        self.set_timer(shard, context.now + hedge_delay(&context.latencies[shard]));
     }
 
     fn schedule_retry<R: Rng>(&mut self, shard: usize, context: &mut FanoutContext<'_, R>) {
@@ -561,6 +561,14 @@
     }
 }
 
+/// Returns when a shard counts as a straggler: past its quantile and well past its mean, so that
+/// a narrow distribution is not hedged for being on time.
+fn hedge_delay(latency: &QuantileTracker) -> Duration {
+    let quantile = latency.estimate().unwrap_or(HEDGE_DELAY_INITIAL);
+    let mean = latency.mean().unwrap_or_default();
+    quantile.max(mean * HEDGE_MEAN_FACTOR).max(HEDGE_DELAY_MIN)
+}
+
 impl Progress {
     fn new() -> Self {
         Self {
--- a/crates/papayastack/src/query/quantile.rs
+++ b/crates/papayastack/src/query/quantile.rs
@@ -9,11 +9,14 @@
 #[derive(Debug, Clone)]
 pub struct QuantileTracker {
     estimate_us: f64,
+    mean_us: f64,
     samples: u64,
 }
 
 /// The step relative to the estimate once the tracker has settled.
-const STEP_SHARE: f64 = 0.05;
+const STEP_SHARE_MIN: f64 = 0.01;
+/// The weight of a new sample in the mean once the tracker has settled.
+const MEAN_SHARE_MIN: f64 = 0.02;
 /// Samples before the estimate is trusted.
 const SAMPLES_MIN: u64 = 16;
 /// The smallest step in microseconds, so that an estimate near zero can rise.
@@ -22,7 +25,7 @@
 impl QuantileTracker {
     /// Starts without samples.
     pub fn new() -> Self {
-        Self { estimate_us: 0.0, samples: 0 }
+        Self { estimate_us: 0.0, mean_us: 0.0, samples: 0 }
     }
 
     /// Takes one sample, following the quantile given in thousandths.
@@ -32,9 +35,13 @@
         self.samples += 1;
         if self.samples == 1 {
             self.estimate_us = sample_us;
+            self.mean_us = sample_us;
             return;
         }
-        let step_us = (self.estimate_us * STEP_SHARE).max(STEP_MIN_US);
+        // Early samples move the estimates far, later ones only little.
+        let newest_share = 1.0 / self.samples as f64;
+        self.mean_us += (sample_us - self.mean_us) * newest_share.max(MEAN_SHARE_MIN);
+        let step_us = (self.estimate_us * newest_share.max(STEP_SHARE_MIN)).max(STEP_MIN_US);
         if sample_us > self.estimate_us {
             self.estimate_us += step_us * quantile;
         } else {
@@ -42,10 +49,14 @@
         }
     }
 
-    /// Returns the estimate; `None` until enough samples came.
+    /// Returns the quantile; `None` until enough samples came.
     pub fn estimate(&self) -> Option<Duration> {
-        (self.samples >= SAMPLES_MIN)
-            .then(|| Duration::from_secs_f64(self.estimate_us.max(0.0) / 1e6))
+        (self.samples >= SAMPLES_MIN).then(|| from_us(self.estimate_us))
+    }
+
+    /// Returns the mean; `None` until enough samples came.
+    pub fn mean(&self) -> Option<Duration> {
+        (self.samples >= SAMPLES_MIN).then(|| from_us(self.mean_us))
     }
 }
 
@@ -54,3 +65,7 @@
         Self::new()
     }
 }
+
+fn from_us(value_us: f64) -> Duration {
+    Duration::from_secs_f64(value_us.max(0.0) / 1e6)
+}
