Test the stand-ins through the product's clients, and mend the queue

Cause: a search that found the queue full panicked: the place in the queue was built, and dropped, even when there was none, so the count fell below zero. Found by the shedding test, seen failing. Change: the place is built only when there is one.

--- a/crates/papayastack-standin/src/platform/tests.rs
+++ b/crates/papayastack-standin/src/platform/tests.rs
@@ -1,1 +1,254 @@
-//! Tests of the stand-in platform.
+//! Tests of the stand-in platform through the product's own client.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use axum::body::Bytes;
+use papayastack::{
+    HttpPlatform, ListedState, ListedVm, ObjectName, Platform, PlatformError, Precondition,
+};
+use serde_json::json;
+use tokio::net::TcpStream;
+
+use super::rate::RateLimit;
+use super::store::{Change, Store};
+use super::*;
+
+const AMPLE: Duration = Duration::from_secs(60);
+
+fn any_port() -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
+}
+
+fn name() -> ObjectName {
+    ObjectName::new("ledger", "bucket 3/slot é")
+}
+
+async fn fixture() -> (PlatformStandin, Arc<HttpPlatform>) {
+    let standin = PlatformStandin::bind(any_port()).await.unwrap();
+    let client = Arc::new(HttpPlatform::open(vec![standin.address()]));
+    (standin, client)
+}
+
+async fn until(condition: impl Fn() -> bool) {
+    while !condition() {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+}
+
+async fn until_refused(address: SocketAddr) {
+    while TcpStream::connect(address).await.is_ok() {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+}
+
+#[tokio::test]
+async fn an_object_is_made_read_changed_listed_and_deleted() {
+    let (_standin, client) = fixture().await;
+
+    let first = client.update(&name(), Precondition::Absent, json!({"a": 1})).await.unwrap();
+    let second =
+        client.update(&name(), Precondition::Version(first), json!({"a": 2})).await.unwrap();
+    let object = client.read(&name()).await.unwrap();
+    let listed = client.list("ledger").await.unwrap();
+    client.delete(&name(), second).await.unwrap();
+
+    assert_eq!((object.version, object.value), (second, json!({"a": 2})));
+    assert_eq!(listed, [name()]);
+    assert_eq!(client.read(&name()).await, Err(PlatformError::NotFound));
+}
+
+#[tokio::test]
+async fn an_object_made_again_repeats_no_version() {
+    let (_standin, client) = fixture().await;
+    let first = client.update(&name(), Precondition::Absent, json!(1)).await.unwrap();
+    client.delete(&name(), first).await.unwrap();
+
+    let second = client.update(&name(), Precondition::Absent, json!(2)).await.unwrap();
+
+    assert!(second > first);
+    let late = client.update(&name(), Precondition::Version(first), json!(3)).await;
+    assert_eq!(late, Err(PlatformError::Conflict));
+}
+
+#[tokio::test]
+async fn one_of_many_conditional_updates_wins() {
+    let (standin, client) = fixture().await;
+    let base = client.update(&name(), Precondition::Absent, json!(0)).await.unwrap();
+
+    let racers: Vec<_> = (1..=8)
+        .map(|number| {
+            let client = Arc::clone(&client);
+            tokio::spawn(async move {
+                client.update(&name(), Precondition::Version(base), json!(number)).await
+            })
+        })
+        .collect();
+    let mut outcomes = Vec::new();
+    for racer in racers {
+        outcomes.push(racer.await.unwrap());
+    }
+
+    assert_eq!(outcomes.iter().filter(|outcome| outcome.is_ok()).count(), 1);
+    let conflict = Err(PlatformError::Conflict);
+    assert_eq!(outcomes.iter().filter(|outcome| **outcome == conflict).count(), 7);
+    assert_eq!(standin.counts().conflicts, 7);
+}
+
+#[tokio::test]
+async fn a_watch_returns_the_next_version_or_nothing() {
+    let (standin, client) = fixture().await;
+    let version = client.update(&name(), Precondition::Absent, json!(1)).await.unwrap();
+    let watching = {
+        let client = Arc::clone(&client);
+        tokio::spawn(async move { client.watch(&name(), version, AMPLE).await })
+    };
+    until(|| standin.counts().watches_waiting == 1).await;
+
+    let next = client.update(&name(), Precondition::Version(version), json!(2)).await.unwrap();
+
+    let seen = watching.await.unwrap().unwrap().unwrap();
+    assert_eq!((seen.version, seen.value), (next, json!(2)));
+    let nothing = client.watch(&name(), next, Duration::from_millis(5)).await;
+    assert_eq!(nothing, Ok(None));
+    assert_eq!(standin.counts().watches, 2);
+}
+
+#[tokio::test]
+async fn an_outage_refuses_calls_and_ends_watches() {
+    let (standin, client) = fixture().await;
+    let watching = {
+        let client = Arc::clone(&client);
+        tokio::spawn(async move { client.watch(&name(), 0, AMPLE).await })
+    };
+    until(|| standin.counts().watches_waiting == 1).await;
+
+    standin.change_behaviour(|behaviour| behaviour.unavailable = true);
+    let update = client.update(&name(), Precondition::Absent, json!(1)).await;
+
+    assert_eq!(update, Err(PlatformError::Unavailable));
+    assert_eq!(watching.await.unwrap(), Err(PlatformError::Unavailable));
+    standin.change_behaviour(|behaviour| behaviour.unavailable = false);
+    assert_eq!(client.read(&name()).await, Err(PlatformError::NotFound));
+}
+
+#[tokio::test]
+async fn an_unreachable_platform_is_unavailable_and_another_address_takes_over() {
+    let (first, client) = fixture().await;
+    let (second, _) = fixture().await;
+    first.change_behaviour(|behaviour| behaviour.unreachable = true);
+    until_refused(first.address()).await;
+    let both = HttpPlatform::open(vec![first.address(), second.address()]);
+
+    let alone = client.update(&name(), Precondition::Absent, json!(1)).await;
+    let moved = both.update(&name(), Precondition::Absent, json!(1)).await;
+
+    assert_eq!(alone, Err(PlatformError::Unavailable));
+    assert!(moved.is_ok(), "{moved:?}");
+    assert_eq!(second.counts().updates, 1);
+}
+
+#[tokio::test]
+async fn an_update_whose_answer_is_lost_goes_to_no_other_address() {
+    let (first, _) = fixture().await;
+    let (second, _) = fixture().await;
+    first.change_behaviour(|behaviour| behaviour.lost_after_permille = 1_000);
+    let both = HttpPlatform::open(vec![first.address(), second.address()]);
+
+    let outcome = both.update(&name(), Precondition::Absent, json!(1)).await;
+
+    assert_eq!(outcome, Err(PlatformError::AnswerLost));
+    assert_eq!(both.read(&name()).await.unwrap().value, json!(1));
+    assert_eq!((first.counts().updates, second.counts().updates), (1, 0));
+}
+
+#[tokio::test]
+async fn an_update_lost_before_its_effect_changes_nothing() {
+    let (standin, client) = fixture().await;
+    standin.change_behaviour(|behaviour| behaviour.lost_before_permille = 1_000);
+
+    let outcome = client.update(&name(), Precondition::Absent, json!(1)).await;
+
+    assert_eq!(outcome, Err(PlatformError::AnswerLost));
+    assert_eq!(client.read(&name()).await, Err(PlatformError::NotFound));
+}
+
+#[tokio::test]
+async fn a_value_beyond_the_limit_is_rejected() {
+    let (_standin, client) = fixture().await;
+    let large = json!("x".repeat(1_000_000));
+
+    let outcome = client.update(&name(), Precondition::Absent, large).await;
+
+    assert!(matches!(outcome, Err(PlatformError::Rejected { .. })), "{outcome:?}");
+}
+
+#[tokio::test]
+async fn calls_beyond_the_rate_are_told_when_to_come_back() {
+    let (standin, client) = fixture().await;
+    standin.change_behaviour(|behaviour| behaviour.writes_per_s = 1);
+
+    let mut refused = None;
+    while refused.is_none() {
+        let object = name();
+        let calls = (0..8).map(|_| client.update(&object, Precondition::Absent, json!(1)));
+        for outcome in futures_util::future::join_all(calls).await {
+            if let Err(PlatformError::RateLimited { retry_after }) = outcome {
+                refused = Some(retry_after);
+            }
+        }
+    }
+
+    assert!(refused.unwrap() <= Duration::from_secs(2), "{refused:?}");
+    assert!(standin.counts().rate_limited > 0);
+}
+
+#[tokio::test]
+async fn the_list_of_vms_lags() {
+    let (standin, client) = fixture().await;
+    let vm = ListedVm {
+        address: "127.0.0.1:7101".parse().unwrap(),
+        data_centre: "rennes".to_owned(),
+        entry_vm: true,
+        state: ListedState::Live,
+    };
+    standin.change_behaviour(|behaviour| behaviour.list_lag_ms = 3_600_000);
+
+    standin.put_vm(vm.clone());
+    let lagging = client.vms().await.unwrap();
+    standin.change_behaviour(|behaviour| behaviour.list_lag_ms = 0);
+    let current = client.vms().await.unwrap();
+
+    assert_eq!(lagging, []);
+    assert_eq!(current, [vm]);
+}
+
+#[test]
+fn the_rate_limit_refills_with_time() {
+    let start = Instant::now();
+    let mut limit = RateLimit::new(4, start);
+
+    let burst = [limit.take(4, start), limit.take(4, start), limit.take(4, start)];
+    let later = limit.take(4, start + Duration::from_millis(250));
+
+    assert_eq!(burst, [Ok(()), Ok(()), Err(Duration::from_millis(250))]);
+    assert_eq!(later, Ok(()));
+}
+
+#[test]
+fn a_stale_replica_shows_an_earlier_version() {
+    let start = Instant::now();
+    let lag = Duration::from_secs(2);
+    let later = start + Duration::from_secs(3);
+    let mut store = Store::default();
+    let first = store.update(&name(), &Precondition::Absent, Bytes::from("1"), start);
+    store.update(&name(), &Precondition::Version(1), Bytes::from("2"), later);
+
+    let stale = store.read_stale(&name(), later, lag).unwrap();
+    let before_any = store.read_stale(&name(), start, lag);
+
+    assert_eq!(first, Change::Applied(1));
+    assert_eq!((stale.version, store.read(&name()).unwrap().version), (1, 2));
+    assert_eq!(before_any, None);
+}
--- a/crates/papayastack-standin/src/upstream/service.rs
+++ b/crates/papayastack-standin/src/upstream/service.rs
@@ -154,7 +154,7 @@
 
 impl<'a> Queued<'a> {
     fn enter(state: &'a State) -> Option<Self> {
-        state.enter_queue().then_some(Self { state })
+        state.enter_queue().then(|| Self { state })
     }
 }
 
