--- a/crates/papayastack-standin/src/control.rs
+++ b/crates/papayastack-standin/src/control.rs
@@ -24,10 +24,9 @@
 use axum::{Json, Router};
 use papayastack::{HttpPlatform, ListedVm, PlatformError, SnapshotVersion, UpstreamId};
 use papayastack_macros::message;
-use serde::Serialize;
-use serde::de::DeserializeOwned;
 use tokio::sync::Mutex;
 
+use crate::patch::PatchError;
 use crate::place::PlaceStandin;
 use crate::platform::{PlatformBehaviour, PlatformCounts, PlatformStandin};
 use crate::server::{ConnectionGate, Server};
@@ -96,6 +95,12 @@
     }
 }
 
+impl From<PatchError> for ControlError {
+    fn from(error: PatchError) -> Self {
+        Self::BadPatch(error.to_string())
+    }
+}
+
 impl ControlStandin {
     /// Binds the control interface; port 0 lets the operating system choose.
     ///
@@ -141,8 +146,7 @@
     Shared(controlled): Shared<Arc<Controlled>>,
     Json(change): Json<serde_json::Value>,
 ) -> Result<Json<PlatformBehaviour>, ControlError> {
-    let behaviour = merged(&controlled.platform.behaviour(), &change)?;
-    controlled.platform.set_behaviour(behaviour);
+    controlled.platform.patch_behaviour(&change)?;
     Ok(Json(controlled.platform.behaviour()))
 }
 
@@ -174,7 +178,7 @@
     let place = controlled.place.lock().await;
     let upstream =
         place.upstreams().get(&id).ok_or(ControlError::NoSuch(format!("no upstream `{id}`")))?;
-    upstream.set_behaviour(merged(&upstream.behaviour(), &change)?);
+    upstream.patch_behaviour(&change)?;
     Ok(Json(upstream.behaviour()))
 }
 
@@ -186,7 +190,7 @@
     let place = controlled.place.lock().await;
     let mut changed = Vec::new();
     for upstream in place.upstreams_of(&name) {
-        upstream.set_behaviour(merged(&upstream.behaviour(), &change)?);
+        upstream.patch_behaviour(&change)?;
         changed.push(upstream.id().clone());
     }
     if changed.is_empty() {
@@ -227,13 +231,3 @@
 async fn executions(Shared(controlled): Shared<Arc<Controlled>>) -> Json<BTreeMap<String, u64>> {
     Json(controlled.place.lock().await.executions())
 }
-
-fn merged<T: Serialize + DeserializeOwned>(
-    current: &T,
-    change: &serde_json::Value,
-) -> Result<T, ControlError> {
-    let bad = |error: serde_json::Error| ControlError::BadPatch(error.to_string());
-    let mut value = serde_json::to_value(current).map_err(bad)?;
-    json_patch::merge(&mut value, change);
-    serde_json::from_value(value).map_err(bad)
-}
--- a/crates/papayastack-standin/src/lib.rs
+++ b/crates/papayastack-standin/src/lib.rs
@@ -4,6 +4,7 @@
 //! |---|---|
 //! | `control` | the HTTP interface that switches faults |
 //! | `index` | the seeded documents and the naive search over them |
+//! | `patch` | merge patches of behaviours |
 //! | `server` | HTTP connections that can be limited, delayed, refused and cut |
 //! | `upstream` | one upstream with slots and faults |
 //! | `platform` | the object API with rate limits and faults |
@@ -11,6 +12,7 @@
 
 mod control;
 mod index;
+mod patch;
 mod place;
 mod platform;
 mod server;
@@ -18,6 +20,7 @@
 
 pub use control::{ControlStandin, PlatformState, UpstreamState};
 pub use index::{document_key, naive_search, vocabulary};
+pub use patch::PatchError;
 pub use place::{
     Place, PlaceOptions, PlaceStandin, ServiceShape, publish_bundle, publish_catalogue,
 };
--- /dev/null
+++ b/crates/papayastack-standin/src/patch.rs
@@ -0,0 +1,29 @@
+//! Merge patches of behaviours.
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// Says why a merge patch does not fit a behaviour.
+#[derive(Debug)]
+pub struct PatchError {
+    detail: String,
+}
+
+impl std::fmt::Display for PatchError {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "the behaviour cannot be changed like this: {}", self.detail)
+    }
+}
+
+impl std::error::Error for PatchError {}
+
+/// Applies a JSON merge patch to a value; unknown fields are errors where the type says so.
+pub(crate) fn merged<T: Serialize + DeserializeOwned>(
+    current: &T,
+    change: &serde_json::Value,
+) -> Result<T, PatchError> {
+    let failed = |error: serde_json::Error| PatchError { detail: error.to_string() };
+    let mut value = serde_json::to_value(current).map_err(failed)?;
+    json_patch::merge(&mut value, change);
+    serde_json::from_value(value).map_err(failed)
+}
--- a/crates/papayastack-standin/src/platform/standin.rs
+++ b/crates/papayastack-standin/src/platform/standin.rs
@@ -14,6 +14,7 @@
 use super::rate::RateLimit;
 use super::service::router;
 use super::store::Store;
+use crate::patch::{PatchError, merged};
 use crate::server::{ConnectionGate, Server};
 
 const CONNECTIONS_MAX: usize = 10_000;
@@ -165,6 +166,15 @@
         self.state.changed.send_modify(|count| *count += 1);
     }
 
+    /// Changes parts of the behaviour by a JSON merge patch.
+    ///
+    /// # Errors
+    /// The patch names an unknown field or a value of the wrong type.
+    pub fn patch_behaviour(&self, change: &serde_json::Value) -> Result<(), PatchError> {
+        self.set_behaviour(merged(&self.behaviour(), change)?);
+        Ok(())
+    }
+
     /// Changes parts of the behaviour.
     pub fn change_behaviour(&self, change: impl FnOnce(&mut PlatformBehaviour)) {
         let mut behaviour = self.behaviour();
--- a/crates/papayastack-standin/src/upstream/standin.rs
+++ b/crates/papayastack-standin/src/upstream/standin.rs
@@ -13,6 +13,7 @@
 use super::behaviour::UpstreamBehaviour;
 use super::service::router;
 use super::state::{State, UpstreamCounts};
+use crate::patch::{PatchError, merged};
 use crate::server::{ConnectionGate, Server};
 
 /// What a stand-in upstream is.
@@ -90,6 +91,15 @@
         self.state.set_behaviour(behaviour);
     }
 
+    /// Changes parts of the behaviour by a JSON merge patch.
+    ///
+    /// # Errors
+    /// The patch names an unknown field or a value of the wrong type.
+    pub fn patch_behaviour(&self, change: &serde_json::Value) -> Result<(), PatchError> {
+        self.set_behaviour(merged(&self.behaviour(), change)?);
+        Ok(())
+    }
+
     /// Changes parts of the behaviour.
     pub fn change_behaviour(&self, change: impl FnOnce(&mut UpstreamBehaviour)) {
         let mut behaviour = self.behaviour();
