--- /dev/null
+++ b/crates/papayastack/src/configuration/tests/mod.rs
@@ -0,0 +1,6 @@
+//! Tests of the configuration.
+
+mod adoption;
+mod fleet;
+mod gossip;
+mod store;
--- /dev/null
+++ b/crates/papayastack/src/configuration/tests/store.rs
@@ -0,0 +1,129 @@
+//! Documents, their differences and what a store adopts.
+
+use proptest::prelude::*;
+use serde_json::{Value, json};
+
+use super::super::document::{ApplyError, Document, content_of};
+use super::super::store::{ConfigurationStore, Offer};
+use super::super::*;
+use super::fleet::{broken_bundle, bundle, catalogue};
+use crate::settings::SettingsFile;
+
+#[test]
+fn a_lower_version_is_never_adopted() {
+    let mut store = ConfigurationStore::open("any".into());
+    let name = configuration_object();
+
+    let offers = [
+        store.offer(&name, 5, bundle(5)),
+        store.offer(&name, 4, bundle(4)),
+        store.offer(&name, 5, bundle(6)),
+        store.offer(&name, 7, broken_bundle(7)),
+        store.offer(&name, 6, bundle(6)),
+        store.offer(&name, 8, bundle(8)),
+    ];
+
+    let expected = [
+        Offer::Adopted,
+        Offer::NotNewer,
+        Offer::NotNewer,
+        Offer::Refused,
+        Offer::NotNewer,
+        Offer::Adopted,
+    ];
+    assert_eq!(offers, expected);
+}
+
+#[test]
+fn a_catalogue_is_adopted_for_a_configured_service_only() {
+    let mut store = ConfigurationStore::open("any".into());
+    let board = catalogue_object("board");
+
+    let before = store.offer(&board, 1, catalogue(1));
+    store.offer(&configuration_object(), 1, bundle(1));
+    let after = store.offer(&board, 1, catalogue(1));
+    let other = store.offer(&catalogue_object("other"), 1, catalogue(1));
+
+    assert_eq!((before, after, other), (Offer::NotWanted, Offer::Adopted, Offer::NotWanted));
+}
+
+#[test]
+fn an_object_that_is_no_bundle_is_refused_with_the_place() {
+    let mut store = ConfigurationStore::open("any".into());
+    let mut value = bundle(1);
+    value["overlay"] = json!({});
+
+    let offer = store.offer(&configuration_object(), 1, value);
+
+    assert_eq!(offer, Offer::Refused);
+    let refused: Vec<&RefusedDocument> = store.refused().collect();
+    assert_eq!(refused[0].faults[0].file, SettingsFile::Document);
+    assert_eq!(refused[0].faults[0].path, "/overlay");
+}
+
+#[test]
+fn a_service_that_is_removed_takes_its_catalogue_along() {
+    let mut store = ConfigurationStore::open("any".into());
+    store.offer(&configuration_object(), 1, bundle(1));
+    store.offer(&catalogue_object("board"), 1, catalogue(1));
+    let mut renamed = bundle(2);
+    let board = renamed["base"]["services"]["board"].take();
+    renamed["base"]["services"] = json!({"archive": board});
+
+    let offer = store.offer(&configuration_object(), 2, renamed);
+
+    assert_eq!(offer, Offer::Adopted);
+    assert!(store.in_force().unwrap().catalogues.is_empty());
+    assert!(store.document(&catalogue_object("board")).is_none());
+}
+
+fn any_json() -> impl Strategy<Value = Value> {
+    let leaf = prop_oneof![
+        Just(Value::Null),
+        any::<bool>().prop_map(Value::from),
+        any::<i64>().prop_map(Value::from),
+        "[a-z/~ ]{0,4}".prop_map(Value::from),
+    ];
+    leaf.prop_recursive(4, 64, 6, |inner| {
+        prop_oneof![
+            proptest::collection::vec(inner.clone(), 0..6).prop_map(Value::from),
+            proptest::collection::btree_map("[a-z/~]{0,3}", inner, 0..6)
+                .prop_map(|members| Value::Object(members.into_iter().collect())),
+        ]
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 256,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(5),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn every_update_leads_to_the_same_document(
+        contents in proptest::collection::vec(any_json(), 2..8),
+        behind in 0_usize..8,
+    ) {
+        let name = configuration_object();
+        let mut documents = vec![Document::new(1, contents[0].clone())];
+        for (version, content) in (2..).zip(&contents[1..]) {
+            documents.push(documents[documents.len() - 1].advance(version, content.clone()));
+        }
+        let newest = &documents[documents.len() - 1];
+        let peer = &documents[behind % documents.len()];
+        prop_assume!(peer.version < newest.version);
+
+        let update = newest.update_since(&name, Some(peer.version));
+        let (for_peer, for_other) =
+            (content_of(Some(peer), &update), content_of(Some(newest), &update));
+
+        prop_assert_eq!(for_peer.as_ref(), Ok(&*newest.value));
+        if let DocumentContent::Difference { .. } = update.content {
+            prop_assert_eq!(for_other, Err(ApplyError::OtherBase));
+        }
+        let whole = content_of(None, &newest.update_since(&name, None));
+        prop_assert_eq!(whole.as_ref(), Ok(&*newest.value));
+    }
+}
--- a/crates/papayastack/src/settings/fault.rs
+++ b/crates/papayastack/src/settings/fault.rs
@@ -15,6 +15,8 @@
     Base,
     /// The overlay of a site.
     Overlay(SiteName),
+    /// The object at the platform as a whole.
+    Document,
 }
 
 impl fmt::Display for SettingsFile {
@@ -22,6 +24,7 @@
         match self {
             Self::Base => write!(formatter, "base"),
             Self::Overlay(site) => write!(formatter, "overlay {site}"),
+            Self::Document => write!(formatter, "platform object"),
         }
     }
 }
