--- a/crates/papayastack/src/lib.rs
+++ b/crates/papayastack/src/lib.rs
@@ -12,11 +12,17 @@
 //! | `configuration` | the accepted bundle and what is in force |
 //! | `membership` | which VMs are live |
 //! | `routing` | owners of upstreams, the directory that a query pins |
+//! | `admission` | how many queries run at once |
 //! | `query` | the decisions of a fan-out |
+//! | `dispatch` | queue and slots in front of an upstream |
+//! | `link` | connections between VMs |
+//! | `vm` | one VM, wired together |
+//! | `seal` | keys, sealed datagrams and authenticated links between VMs |
 //! | `upstream` | the upstreams' protocol and client |
 //! | `caller` | the callers' protocol and HTTP server |
 //! | `observe` | trace contexts, spans, logs, metrics |
 
+mod admission;
 mod caller;
 mod catalogue;
 mod configuration;
@@ -29,9 +35,12 @@
 mod platform;
 mod query;
 mod routing;
+mod seal;
 mod settings;
 mod upstream;
+mod vm;
 
+pub use admission::*;
 pub use caller::*;
 pub use catalogue::*;
 pub use configuration::*;
@@ -44,5 +53,7 @@
 pub use platform::*;
 pub use query::*;
 pub use routing::*;
+pub use seal::*;
 pub use settings::*;
 pub use upstream::*;
+pub use vm::*;
