Run submissions at most once through the platform's ledger

Cause: a doubled filing does harm, callers retry at any VM, VMs are killed or paused at any instruction, and the platform's answers get lost.

Change: the slice `submission`. A key carries its time of issue. The layout of an era (one hour of issue times) is an object of its own, created once by a conditional update, so VMs with different settings map a key to the same object and buckets can grow from the next era. A writer per ledger object (statig) records intents by conditional updates, many in one write, and hands an attempt to the sender only after the accepted update and a read of the ledger's floor that follows it. Outcomes are recorded in later writes; a proven "not run" is told when it is recorded, so that the retry may run. An intent that was recorded but never sent is withdrawn as "not run".

Contract: SubmissionSettings gets write_interval_ms and outcome_wait_ms, which pace the writes of one object.

Ruled out: bucket count from the settings in force (two VMs with different settings would use two objects for one key); one growing object per bucket.

--- a/crates/papayastack/src/lib.rs
+++ b/crates/papayastack/src/lib.rs
@@ -14,6 +14,7 @@
 //! | `routing` | owners of upstreams, the directory that a query pins |
 //! | `query` | the decisions of a fan-out |
 //! | `upstream` | the upstreams' protocol and client |
+//! | `submission` | submissions that run at most once |
 //! | `caller` | the callers' protocol |
 
 mod caller;
@@ -27,6 +28,7 @@
 mod query;
 mod routing;
 mod settings;
+mod submission;
 mod upstream;
 
 pub use caller::*;
@@ -40,4 +42,5 @@
 pub use query::*;
 pub use routing::*;
 pub use settings::*;
+pub use submission::*;
 pub use upstream::*;
--- a/crates/papayastack/src/settings/schema.rs
+++ b/crates/papayastack/src/settings/schema.rs
@@ -291,6 +291,10 @@
     pub retention_ms: u64,
     /// The longest wait for other submissions to share a platform write, in milliseconds.
     pub group_wait_ms: u64,
+    /// The shortest time between the starts of two writes of one ledger object, in milliseconds.
+    pub write_interval_ms: u64,
+    /// The longest wait of an outcome for intents to share its platform write, in milliseconds.
+    pub outcome_wait_ms: u64,
     /// The largest submission body in bytes.
     pub body_max_bytes: u64,
 }
@@ -303,6 +307,8 @@
             clock_skew_max_ms: 5_000,
             retention_ms: 86_400_000,
             group_wait_ms: 20,
+            write_interval_ms: 100,
+            outcome_wait_ms: 100,
             body_max_bytes: 16_384,
         }
     }
--- /dev/null
+++ b/crates/papayastack/src/submission/layout.rs
@@ -0,0 +1,108 @@
+//! How keys map to ledger objects: eras, and the layout that is fixed once for each era.
+//!
+//! Every VM must map a key to the same object, whatever settings it has seen. The layout of an era
+//! is therefore an object of its own: the first VM that needs it creates it from its settings,
+//! nobody changes it, and new settings count from the next era that nobody has opened.
+
+use papayastack_macros::message;
+use twox_hash::XxHash3_64;
+
+use super::key::SubmissionKey;
+use crate::platform::{Object, ObjectName, PlatformError};
+use crate::settings::SubmissionSettings;
+
+/// Numbers spans of [`ERA_MS`] since the unix epoch.
+pub(crate) type Era = u64;
+
+/// The span of issue times that share one layout, in milliseconds; part of the names, never changed.
+pub(crate) const ERA_MS: u64 = 3_600_000;
+/// The most buckets of an era.
+const BUCKETS_MAX: u32 = 65_536;
+/// The shortest span of issue times in one ledger object, in milliseconds.
+const SLOT_MIN_MS: u64 = 100;
+
+const LAYOUT_KIND: &str = "ledger-era";
+const LEDGER_KIND: &str = "ledger";
+const FLOOR_KIND: &str = "ledger-floor";
+const FLOOR_NAME: &str = "floor";
+
+/// Returns the era of an issue time.
+pub(crate) fn era_of(unix_ms: u64) -> Era {
+    unix_ms / ERA_MS
+}
+
+/// Names the object that holds an era's layout.
+pub(crate) fn layout_name(era: Era) -> ObjectName {
+    ObjectName::new(LAYOUT_KIND, era.to_string())
+}
+
+/// Names the object that holds the [`LedgerFloor`].
+pub(crate) fn floor_name() -> ObjectName {
+    ObjectName::new(FLOOR_KIND, FLOOR_NAME)
+}
+
+/// How the keys of one era are spread over ledger objects.
+#[message]
+pub(crate) struct EraLayout {
+    /// Buckets that keys are spread over.
+    pub(crate) buckets: u32,
+    /// The span of issue times in one object, in milliseconds.
+    pub(crate) slot_ms: u64,
+}
+
+impl EraLayout {
+    /// Derives the layout that these settings propose for an era that nobody has opened.
+    pub(crate) fn proposed(settings: &SubmissionSettings) -> Self {
+        Self {
+            buckets: settings.buckets.clamp(1, BUCKETS_MAX),
+            slot_ms: settings.slot_ms.clamp(SLOT_MIN_MS, ERA_MS),
+        }
+    }
+
+    /// Reads a layout; `None` where the object holds none that can be used.
+    pub(crate) fn read(object: &Object) -> Option<Self> {
+        let layout: Self = serde_json::from_value(object.value.clone()).ok()?;
+        let usable = (1..=BUCKETS_MAX).contains(&layout.buckets)
+            && (SLOT_MIN_MS..=ERA_MS).contains(&layout.slot_ms);
+        usable.then_some(layout)
+    }
+
+    /// Returns the bucket of `key`.
+    pub(crate) fn bucket_of(&self, key: &SubmissionKey) -> u32 {
+        let bucket = XxHash3_64::oneshot(key.text().as_bytes()) % u64::from(self.buckets);
+        u32::try_from(bucket).expect("the bucket is below a 32-bit count")
+    }
+
+    /// Names the ledger object of `key`, whose era must be this layout's.
+    pub(crate) fn object_of(&self, key: &SubmissionKey) -> ObjectName {
+        let slot = key.issued_unix_ms() % ERA_MS / self.slot_ms;
+        object_name(era_of(key.issued_unix_ms()), slot, self.bucket_of(key))
+    }
+}
+
+/// How far the ledger is pruned; only ever raised, and raised before anything is deleted.
+#[message]
+#[derive(Default)]
+pub(crate) struct LedgerFloor {
+    /// The first era whose keys may still run.
+    pub(crate) first_open: Era,
+    /// The first era whose objects may still exist.
+    pub(crate) first_kept: Era,
+}
+
+impl LedgerFloor {
+    /// Interprets a read of [`floor_name`]: no object means that nothing was ever pruned.
+    pub(crate) fn from_read(read: Result<Object, PlatformError>) -> Result<Self, PlatformError> {
+        match read {
+            Ok(object) => serde_json::from_value(object.value).map_err(|error| {
+                PlatformError::Rejected { detail: format!("the ledger's floor: {error}") }
+            }),
+            Err(PlatformError::NotFound) => Ok(Self::default()),
+            Err(error) => Err(error),
+        }
+    }
+}
+
+fn object_name(era: Era, slot: u64, bucket: u32) -> ObjectName {
+    ObjectName::new(LEDGER_KIND, format!("{era}.{slot}.{bucket}"))
+}
--- /dev/null
+++ b/crates/papayastack/src/submission/mod.rs
@@ -0,0 +1,18 @@
+//! Submissions, which run at most once across retries, VMs and outages of the store.
+
+mod desk;
+mod driver;
+mod key;
+mod layout;
+mod record;
+mod refusals;
+mod request;
+mod sender;
+#[cfg(test)]
+mod tests;
+mod writer;
+
+pub use driver::SubmissionDesk;
+pub use key::{SUBMISSION_KEY_MAX_BYTES, SubmissionKey, SubmissionKeyError};
+pub use record::RECEIPT_MAX_BYTES;
+pub use sender::{SendOutcome, Submission, SubmissionDone, SubmissionSender};
--- /dev/null
+++ b/crates/papayastack/src/submission/tests/driver.rs
@@ -0,0 +1,257 @@
+//! Tests of the asynchronous driver, in virtual time.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use serde_json::json;
+
+use super::store::{CallFault, MemoryPlatform};
+use crate::outcome::{Certainty, Refusal, RefusalReason};
+use crate::platform::Platform;
+use crate::settings::SubmissionSettings;
+use crate::submission::driver::{SubmissionDesk, WallClock};
+use crate::submission::sender::{SendOutcome, Submission, SubmissionDone, SubmissionSender};
+use crate::upstream::SubmitRequest;
+
+const START_UNIX_MS: u64 = 1_700_000_000_000;
+const KEY: &str = "1700000000000-a";
+
+/// An upstream that counts executions by key.
+#[derive(Default)]
+struct CountingUpstream {
+    executions: Mutex<BTreeMap<String, u32>>,
+    next: Mutex<Option<SendOutcome>>,
+}
+
+impl CountingUpstream {
+    fn executions_of(&self, key: &str) -> u32 {
+        self.executions.lock().unwrap().get(key).copied().unwrap_or_default()
+    }
+
+    fn answer_next(&self, outcome: SendOutcome) {
+        *self.next.lock().unwrap() = Some(outcome);
+    }
+}
+
+#[async_trait]
+impl SubmissionSender for CountingUpstream {
+    async fn send(&self, request: SubmitRequest) -> SendOutcome {
+        let next = self.next.lock().unwrap().take();
+        if matches!(next, Some(SendOutcome::NotRun { .. })) {
+            return next.unwrap();
+        }
+        *self.executions.lock().unwrap().entry(request.key.clone()).or_default() += 1;
+        tokio::time::sleep(Duration::from_millis(30)).await;
+        next.unwrap_or_else(|| SendOutcome::Done { receipt: format!("receipt {}", request.key) })
+    }
+}
+
+struct Fixture {
+    platform: Arc<MemoryPlatform>,
+    upstream: Arc<CountingUpstream>,
+    clock: WallClock,
+}
+
+fn fixture() -> Fixture {
+    let start = tokio::time::Instant::now();
+    let clock: WallClock =
+        Arc::new(move || START_UNIX_MS + u64::try_from(start.elapsed().as_millis()).unwrap());
+    Fixture { platform: Arc::default(), upstream: Arc::default(), clock }
+}
+
+impl Fixture {
+    fn desk(&self) -> SubmissionDesk {
+        let platform = Arc::clone(&self.platform) as Arc<dyn Platform>;
+        let sender = Arc::clone(&self.upstream) as Arc<dyn SubmissionSender>;
+        let settings = SubmissionSettings::default();
+        SubmissionDesk::spawn_with_clock(platform, settings, sender, Arc::clone(&self.clock))
+    }
+}
+
+fn submission(key: Option<&str>, body: &str) -> Submission {
+    Submission { service: "filings".into(), key: key.map(str::to_owned), body: json!(body) }
+}
+
+async fn submit(desk: &SubmissionDesk, key: &str, body: &str) -> Result<SubmissionDone, Refusal> {
+    let deadline = tokio::time::Instant::now() + Duration::from_secs(2);
+    desk.submit(submission(Some(key), body), deadline.into_std()).await
+}
+
+fn told(result: Result<SubmissionDone, Refusal>) -> (RefusalReason, Certainty) {
+    let refusal = result.unwrap_err();
+    (refusal.reason(), refusal.certainty())
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_repeated_key_gets_the_first_outcome() {
+    let fixture = fixture();
+    let desk = fixture.desk();
+
+    let first = submit(&desk, KEY, "a").await.unwrap();
+    let again = submit(&desk, KEY, "a").await.unwrap();
+    desk.drained().await;
+    let elsewhere = submit(&fixture.desk(), KEY, "a").await.unwrap();
+
+    let receipt = format!("receipt {KEY}");
+    assert_eq!(first, SubmissionDone { receipt: receipt.clone(), repeated: false });
+    assert_eq!(again, SubmissionDone { receipt: receipt.clone(), repeated: true });
+    assert_eq!(elsewhere, SubmissionDone { receipt, repeated: true });
+    assert_eq!(fixture.upstream.executions_of(KEY), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_retry_at_two_vms_at_once_runs_once() {
+    let fixture = fixture();
+    let (one, other) = (fixture.desk(), fixture.desk());
+
+    let results = tokio::join!(submit(&one, KEY, "a"), submit(&other, KEY, "a"));
+
+    assert_eq!(fixture.upstream.executions_of(KEY), 1);
+    let refused = [results.0, results.1].into_iter().filter_map(Result::err);
+    let refused: Vec<_> = refused.map(|it| (it.reason(), it.certainty())).collect();
+    assert_eq!(refused, [(RefusalReason::InProgress, Certainty::OutcomeUnknown)]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_retry_at_the_same_vm_joins_the_running_attempt() {
+    let fixture = fixture();
+    let desk = fixture.desk();
+
+    let (first, second) = tokio::join!(submit(&desk, KEY, "a"), submit(&desk, KEY, "a"));
+
+    assert!(!first.unwrap().repeated);
+    assert!(second.unwrap().repeated);
+    assert_eq!(fixture.upstream.executions_of(KEY), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn another_body_under_the_same_key_is_a_conflict() {
+    let fixture = fixture();
+    let desk = fixture.desk();
+    submit(&desk, KEY, "a").await.unwrap();
+
+    let same_vm = submit(&desk, KEY, "b").await;
+    desk.drained().await;
+    let other_vm = submit(&fixture.desk(), KEY, "b").await;
+
+    assert_eq!(told(same_vm), (RefusalReason::Conflict, Certainty::NotRun));
+    assert_eq!(told(other_vm), (RefusalReason::Conflict, Certainty::NotRun));
+    assert_eq!(fixture.upstream.executions_of(KEY), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn keys_out_of_bounds_are_refused_before_anything_is_recorded() {
+    let fixture = fixture();
+    let desk = fixture.desk();
+    let deadline = (tokio::time::Instant::now() + Duration::from_secs(1)).into_std();
+
+    let missing = desk.submit(submission(None, "a"), deadline).await;
+    let ahead = submit(&desk, "1700000005001-a", "a").await;
+    let old = submit(&desk, "1699913599999-a", "a").await;
+
+    assert!(missing.as_ref().unwrap_err().detail().contains("make one as <unix milliseconds"));
+    assert_eq!(told(missing), (RefusalReason::BadRequest, Certainty::NotRun));
+    assert_eq!(told(ahead), (RefusalReason::BadRequest, Certainty::NotRun));
+    assert_eq!(told(old), (RefusalReason::NoLongerKnown, Certainty::OutcomeUnknown));
+    assert!(fixture.platform.take_calls().is_empty());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_proven_not_run_lets_a_retry_at_another_vm_run() {
+    let fixture = fixture();
+    let shed = SendOutcome::NotRun {
+        reason: RefusalReason::Overloaded,
+        detail: "no slot is free".into(),
+        retry_after: Some(Duration::from_millis(100)),
+    };
+    fixture.upstream.answer_next(shed);
+
+    let first = submit(&fixture.desk(), KEY, "a").await;
+    let executions_before = fixture.upstream.executions_of(KEY);
+    let retry = submit(&fixture.desk(), KEY, "a").await;
+
+    assert_eq!(told(first), (RefusalReason::Overloaded, Certainty::NotRun));
+    assert_eq!(executions_before, 0);
+    assert!(!retry.unwrap().repeated);
+    assert_eq!(fixture.upstream.executions_of(KEY), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_lost_upstream_answer_is_never_repeated() {
+    let fixture = fixture();
+    fixture.upstream.answer_next(SendOutcome::Unknown { detail: "connection reset".into() });
+    let desk = fixture.desk();
+
+    let first = submit(&desk, KEY, "a").await;
+    desk.drained().await;
+    let retry = submit(&fixture.desk(), KEY, "a").await;
+
+    assert_eq!(told(first), (RefusalReason::UpstreamUnavailable, Certainty::OutcomeUnknown));
+    assert_eq!(told(retry), (RefusalReason::EarlierAttemptUnknown, Certainty::OutcomeUnknown));
+    assert_eq!(fixture.upstream.executions_of(KEY), 1);
+}
+
+/// The calls of a first submission: layout read and write, object read and write, floor read.
+const CALLS_BEFORE_SENDING: usize = 5;
+
+#[tokio::test(start_paused = true)]
+async fn a_store_outage_at_any_step_before_sending_is_a_true_not_run() {
+    for step in 0..CALLS_BEFORE_SENDING {
+        let fixture = fixture();
+        let desk = fixture.desk();
+        let mut script = vec![CallFault::None; step];
+        script.push(CallFault::Unavailable);
+        fixture.platform.script(&script);
+
+        let refused = submit(&desk, KEY, "a").await;
+        let executions_before = fixture.upstream.executions_of(KEY);
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        desk.drained().await;
+        let retry = submit(&fixture.desk(), KEY, "a").await;
+
+        let not_run = (RefusalReason::StoreUnavailable, Certainty::NotRun);
+        assert_eq!(told(refused), not_run, "step {step}");
+        assert_eq!(executions_before, 0, "step {step}");
+        assert!(!retry.unwrap().repeated, "step {step}");
+        assert_eq!(fixture.upstream.executions_of(KEY), 1, "step {step}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_lost_platform_answer_is_resolved_by_reading_back() {
+    for fault in [CallFault::LostBefore, CallFault::LostAfter] {
+        for step in [1, 3] {
+            let fixture = fixture();
+            let desk = fixture.desk();
+            let mut script = vec![CallFault::None; step];
+            script.push(fault);
+            fixture.platform.script(&script);
+
+            let done = submit(&desk, KEY, "a").await;
+
+            assert!(!done.unwrap().repeated, "{fault:?} at step {step}");
+            assert_eq!(fixture.upstream.executions_of(KEY), 1, "{fault:?} at step {step}");
+        }
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_owner_whose_recorded_intent_outlives_its_deadline_never_sends() {
+    let fixture = fixture();
+    let desk = fixture.desk();
+    let mut script = vec![CallFault::None; CALLS_BEFORE_SENDING - 1];
+    script.push(CallFault::Slow(1_900));
+    fixture.platform.script(&script);
+    let deadline = (tokio::time::Instant::now() + Duration::from_secs(1)).into_std();
+
+    let refused = desk.submit(submission(Some(KEY), "a"), deadline).await;
+    desk.drained().await;
+    let executions_before = fixture.upstream.executions_of(KEY);
+    let retry = submit(&fixture.desk(), KEY, "a").await;
+
+    assert_eq!(told(refused), (RefusalReason::DeadlineExceeded, Certainty::NotRun));
+    assert_eq!(executions_before, 0);
+    assert!(!retry.unwrap().repeated);
+}
--- /dev/null
+++ b/crates/papayastack/src/submission/tests/mod.rs
@@ -0,0 +1,5 @@
+//! Tests of submissions.
+
+mod driver;
+mod key;
+mod store;
