--- a/crates/papayastack/src/lib.rs
+++ b/crates/papayastack/src/lib.rs
@@ -21,6 +21,8 @@
 //! | `upstream` | the upstreams' protocol and client |
 //! | `caller` | the callers' protocol and HTTP server |
 //! | `observe` | trace contexts, spans, logs, metrics |
+//! | `submission` | submissions that run at most once |
+//! | `caller` | the callers' protocol |
 
 mod admission;
 mod caller;
@@ -37,6 +39,7 @@
 mod routing;
 mod seal;
 mod settings;
+mod submission;
 mod upstream;
 mod vm;
 
@@ -55,5 +58,6 @@
 pub use routing::*;
 pub use seal::*;
 pub use settings::*;
+pub use submission::*;
 pub use upstream::*;
 pub use vm::*;
