Add logs, spans and metrics

A slice observe: logs through log4rs on standard error as text with the part as prefix or as JSON, spans as JSON lines on standard output under the target papaya::span, metrics by prometheus-client with units in their names. A trace that is not recorded costs a flag test: ids are made only for recorded spans.

Ruled out: sampling by a random draw, because the VMs of one trace would decide differently; it follows from the trace id.

--- a/crates/papayastack/src/caller/server.rs
+++ b/crates/papayastack/src/caller/server.rs
@@ -85,7 +85,7 @@
         let (stop, mut stopped) = watch::channel(false);
         let listener = listener.tap_io(|stream| {
             if let Err(error) = stream.set_nodelay(true) {
-                log::debug!("caller: cannot set TCP_NODELAY: {error}");
+                log::debug!(target: "papaya::caller", "Cannot set TCP_NODELAY: {error}.");
             }
         });
         let task = tokio::spawn(async move {
@@ -94,7 +94,7 @@
                 let _ = stopped.wait_for(|stop| *stop).await;
             });
             if let Err(error) = serve.await {
-                log::error!("caller: the server stopped: {error}");
+                log::error!(target: "papaya::caller", "The server stopped: {error}.");
             }
         });
         Ok(Self { address, in_flight, stop, task })
--- /dev/null
+++ b/crates/papayastack/src/observe/labels.rs
@@ -0,0 +1,165 @@
+//! The closed sets that label metrics and spans.
+
+use papayastack_macros::closed_set;
+
+use crate::outcome::{Answer, Certainty, Refusal};
+use crate::platform::PlatformError;
+use crate::query::{AttemptOutcome, FailureReason, NotRunReason};
+
+/// How a query ended for its caller.
+#[closed_set]
+pub enum QueryOutcome {
+    /// Documents were found and every shard answered.
+    Found,
+    /// Documents were found, but shards are missing.
+    FoundPartial,
+    /// Every shard answered and none holds a match.
+    NoneFound,
+    /// Nothing was found, but shards are missing.
+    Inconclusive,
+    /// Refused; no part ran.
+    NotRun,
+    /// Refused; some part may have run.
+    OutcomeUnknown,
+    /// The caller gave up.
+    Cancelled,
+}
+
+impl QueryOutcome {
+    /// Classifies an answer.
+    pub fn of_answer(answer: &Answer) -> Self {
+        let verdict = answer.verdict();
+        if verdict.is_none_found() {
+            Self::NoneFound
+        } else if verdict.is_inconclusive() {
+            Self::Inconclusive
+        } else if answer.coverage().complete().is_some() {
+            Self::Found
+        } else {
+            Self::FoundPartial
+        }
+    }
+
+    /// Classifies a refusal.
+    pub fn of_refusal(refusal: &Refusal) -> Self {
+        match refusal.certainty() {
+            Certainty::NotRun => Self::NotRun,
+            Certainty::OutcomeUnknown => Self::OutcomeUnknown,
+        }
+    }
+
+    /// Returns the name in labels and spans.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Found => "found",
+            Self::FoundPartial => "found_partial",
+            Self::NoneFound => "none_found",
+            Self::Inconclusive => "inconclusive",
+            Self::NotRun => "not_run",
+            Self::OutcomeUnknown => "outcome_unknown",
+            Self::Cancelled => "cancelled",
+        }
+    }
+}
+
+/// How a submission ended for its caller.
+#[closed_set]
+pub enum SubmissionOutcome {
+    /// It ran under this request.
+    Done,
+    /// It ran under an earlier request.
+    Repeated,
+    /// Refused; it did not run.
+    NotRun,
+    /// Refused; it may have run.
+    OutcomeUnknown,
+}
+
+impl SubmissionOutcome {
+    /// Classifies a refusal.
+    pub fn of_refusal(refusal: &Refusal) -> Self {
+        match refusal.certainty() {
+            Certainty::NotRun => Self::NotRun,
+            Certainty::OutcomeUnknown => Self::OutcomeUnknown,
+        }
+    }
+
+    /// Returns the name in labels and spans.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Done => "done",
+            Self::Repeated => "repeated",
+            Self::NotRun => "not_run",
+            Self::OutcomeUnknown => "outcome_unknown",
+        }
+    }
+}
+
+/// The kinds of call to the platform.
+#[closed_set]
+pub enum PlatformCall {
+    /// Reads an object.
+    Read,
+    /// Waits for a change of an object.
+    Watch,
+    /// Writes an object conditionally.
+    Update,
+    /// Deletes an object conditionally.
+    Delete,
+    /// Lists the objects of a kind.
+    List,
+    /// Lists the VMs.
+    Vms,
+}
+
+impl PlatformCall {
+    /// Returns the name in labels.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Read => "read",
+            Self::Watch => "watch",
+            Self::Update => "update",
+            Self::Delete => "delete",
+            Self::List => "list",
+            Self::Vms => "vms",
+        }
+    }
+}
+
+/// Returns the label of a call's result.
+pub(crate) fn platform_result_name(error: Option<&PlatformError>) -> &'static str {
+    match error {
+        None => "ok",
+        Some(PlatformError::NotFound) => "not_found",
+        Some(PlatformError::Conflict) => "conflict",
+        Some(PlatformError::RateLimited { .. }) => "rate_limited",
+        Some(PlatformError::Unavailable) => "unavailable",
+        Some(PlatformError::AnswerLost) => "answer_lost",
+        Some(PlatformError::Rejected { .. }) => "rejected",
+    }
+}
+
+/// Returns the label of an attempt's outcome.
+pub(crate) fn attempt_name(outcome: &AttemptOutcome) -> &'static str {
+    match outcome {
+        AttemptOutcome::Answered(_) => "answered",
+        AttemptOutcome::NotRun(reason) => match reason {
+            NotRunReason::Shed => "shed",
+            NotRunReason::Draining => "draining",
+            NotRunReason::QueueFull => "queue_full",
+            NotRunReason::WouldMissDeadline => "would_miss_deadline",
+            NotRunReason::SnapshotRetired => "snapshot_retired",
+            NotRunReason::WrongShard => "wrong_shard",
+            NotRunReason::ConnectFailed => "connect_failed",
+            NotRunReason::UnknownUpstream => "unknown_upstream",
+            NotRunReason::Cancelled => "cancelled_waiting",
+        },
+        AttemptOutcome::Failed(reason) => match reason {
+            FailureReason::AnswerLost => "answer_lost",
+            FailureReason::Malformed => "malformed",
+            FailureReason::DeadlineExceeded => "deadline_exceeded",
+            FailureReason::Cancelled => "cancelled_running",
+            FailureReason::OwnerLost => "owner_lost",
+        },
+    }
+}
--- a/crates/papayastack/src/observe/mod.rs
+++ b/crates/papayastack/src/observe/mod.rs
@@ -1,5 +1,15 @@
 //! Observation: trace contexts, spans, logs and metrics.
 
+mod labels;
+mod logs;
+mod metrics;
+mod span;
+#[cfg(test)]
+mod tests;
 mod trace;
 
+pub use labels::{PlatformCall, QueryOutcome, SubmissionOutcome};
+pub use logs::{LogError, LogFormat, LogSettings, open_logs};
+pub use metrics::{DispatchLevels, Metrics, RequestGuard};
+pub use span::{ActiveSpan, Hop, SPAN_TARGET, SpanIds, SpanRecord, Tracer};
 pub use trace::{IdSource, SpanId, TraceContext, TraceId};
--- /dev/null
+++ b/crates/papayastack/src/observe/tests.rs
@@ -0,0 +1,131 @@
+//! Tests of spans, logs and metrics.
+
+use std::time::Duration;
+
+use log4rs::encode::Encode;
+
+use super::*;
+use crate::outcome::RefusalReason;
+use crate::platform::PlatformError;
+use crate::query::{AttemptOutcome, FanoutCounts, NotRunReason};
+use crate::settings::QueryClass;
+
+fn trace(sampled: bool) -> TraceContext {
+    TraceContext { trace_id: 0xabc_500, span_id: 7, sampled, state: None }
+}
+
+fn tracer(sampling_permille: u32) -> Tracer {
+    Tracer::open(IdSource::seeded(1), sampling_permille)
+}
+
+#[test]
+fn a_trace_that_is_not_sampled_costs_no_ids() {
+    let tracer = tracer(0);
+
+    let span = tracer.start(Hop::Entry, &trace(false), || panic!("the ids are not needed"));
+
+    assert!(!span.is_recorded());
+    assert_eq!(*span.context(), trace(false));
+}
+
+#[test]
+fn sampling_follows_from_the_trace_id() {
+    let all = tracer(1000).sample(trace(false));
+    let none = tracer(0).sample(trace(false));
+    let marked_by_the_caller = tracer(0).sample(trace(true));
+
+    assert!(all.sampled);
+    assert!(!none.sampled);
+    assert!(marked_by_the_caller.sampled);
+}
+
+#[test]
+fn metrics_name_their_units_and_labels() {
+    let metrics = Metrics::new();
+    let counts = FanoutCounts { needed: 30, sent: 32, hedges: 1, retries: 1, dropped: 1 };
+
+    metrics.query_ended(
+        QueryClass::Sweep,
+        QueryOutcome::NoneFound,
+        Duration::from_millis(30),
+        None,
+    );
+    metrics.sub_requests(QueryClass::Sweep, &counts);
+    metrics.attempt_ended(&AttemptOutcome::NotRun(NotRunReason::Shed));
+    metrics.refused(RefusalReason::Overloaded);
+    metrics.platform_call(PlatformCall::Update, Some(&PlatformError::AnswerLost));
+    metrics.set_configuration_version(12);
+    let guard = metrics.request_started();
+    let during = metrics.encode();
+    drop(guard);
+    let after = metrics.encode();
+
+    for line in [
+        r#"papaya_query_duration_seconds_sum{class="sweep",outcome="none_found"} 0.03"#,
+        r#"papaya_sub_requests_needed_total{class="sweep"} 30"#,
+        r#"papaya_sub_requests_sent_total{class="sweep"} 32"#,
+        r#"papaya_hedges_total{class="sweep"} 1"#,
+        r#"papaya_attempts_total{outcome="shed"} 1"#,
+        r#"papaya_refusals_total{reason="overloaded"} 1"#,
+        r#"papaya_platform_calls_total{call="update",result="answer_lost"} 1"#,
+        "papaya_configuration_version 12",
+        "papaya_requests_in_flight 1",
+    ] {
+        assert!(during.contains(line), "{line} is not in:\n{during}");
+    }
+    assert!(after.contains("papaya_requests_in_flight 0"));
+}
+
+#[test]
+fn labels_match_the_names_on_the_wire() {
+    let outcomes = [
+        QueryOutcome::Found,
+        QueryOutcome::FoundPartial,
+        QueryOutcome::NoneFound,
+        QueryOutcome::Inconclusive,
+        QueryOutcome::NotRun,
+        QueryOutcome::OutcomeUnknown,
+        QueryOutcome::Cancelled,
+    ];
+
+    for outcome in outcomes {
+        assert_eq!(serde_json::to_value(outcome).unwrap(), outcome.name());
+    }
+}
+
+#[test]
+fn an_unknown_level_is_named() {
+    let settings = LogSettings { level: "loud".to_owned(), ..LogSettings::default() };
+
+    let error = logs::log_config(&settings).unwrap_err();
+
+    assert!(error.current_context().to_string().contains("`loud`"));
+}
+
+#[test]
+fn spans_are_off_unless_asked_for() {
+    let level_of = |settings: &LogSettings| {
+        let config = logs::log_config(settings).unwrap();
+        let loggers = config.loggers().to_vec();
+        loggers.iter().find(|logger| logger.name() == SPAN_TARGET).unwrap().level()
+    };
+
+    assert_eq!(level_of(&LogSettings::default()), log::LevelFilter::Off);
+    assert_eq!(
+        level_of(&LogSettings { spans: true, ..LogSettings::default() }),
+        log::LevelFilter::Info
+    );
+}
+
+#[test]
+fn a_text_line_carries_the_part_as_prefix() {
+    let mut line = log4rs::encode::writer::simple::SimpleWriter(Vec::new());
+    let encoder = log4rs::encode::pattern::PatternEncoder::new(logs::TEXT_PATTERN);
+    let message = format_args!("Link ended.");
+
+    let record = log::Record::builder().target("papaya::link").args(message).build();
+    encoder.encode(&mut line, &record).unwrap();
+
+    let text = String::from_utf8(line.0).unwrap();
+    assert!(text.ends_with("Z INFO  papaya::link: Link ended.\n"), "{text}");
+}
