Serve operators over HTTP through an edge trait

Metrics, status, health, readiness and drain on a port of their own. The status is a JSON value, so that this slice does not depend on the slices whose state it shows.

--- a/crates/papayastack/src/lib.rs
+++ b/crates/papayastack/src/lib.rs
@@ -16,6 +16,7 @@
 //! | `upstream` | the upstreams' protocol and client |
 //! | `caller` | the callers' protocol and HTTP server |
 //! | `observe` | trace contexts, spans, logs, metrics |
+//! | `operator` | the operators' HTTP server |
 
 mod caller;
 mod catalogue;
@@ -25,6 +26,7 @@
 mod link;
 mod membership;
 mod observe;
+mod operator;
 mod outcome;
 mod platform;
 mod query;
@@ -40,6 +42,7 @@
 pub use link::*;
 pub use membership::*;
 pub use observe::*;
+pub use operator::*;
 pub use outcome::*;
 pub use platform::*;
 pub use query::*;
