--- a/crates/papayastack/src/lib.rs
+++ b/crates/papayastack/src/lib.rs
@@ -23,6 +23,7 @@
 //! | `observe` | trace contexts, spans, logs, metrics |
 //! | `submission` | submissions that run at most once |
 //! | `caller` | the callers' protocol |
+//! | `operator` | the operators' HTTP server |
 
 mod admission;
 mod caller;
@@ -33,6 +34,7 @@
 mod link;
 mod membership;
 mod observe;
+mod operator;
 mod outcome;
 mod platform;
 mod query;
@@ -52,6 +54,7 @@
 pub use link::*;
 pub use membership::*;
 pub use observe::*;
+pub use operator::*;
 pub use outcome::*;
 pub use platform::*;
 pub use query::*;
