--- a/crates/papayastack/src/lib.rs
+++ b/crates/papayastack/src/lib.rs
@@ -22,7 +22,6 @@
 //! | `caller` | the callers' protocol and HTTP server |
 //! | `observe` | trace contexts, spans, logs, metrics |
 //! | `submission` | submissions that run at most once |
-//! | `caller` | the callers' protocol |
 //! | `operator` | the operators' HTTP server |
 
 mod admission;
--- a/crates/papayastack/src/link/hub.rs
+++ b/crates/papayastack/src/link/hub.rs
@@ -34,6 +34,8 @@
     Request {
         /// The link.
         source: SourceId,
+        /// The VM that dialled it.
+        from: VmIdentity,
         /// The request.
         request: LinkRequest,
     },
@@ -227,13 +229,14 @@
     let source = inner.next_source.fetch_add(1, Ordering::Relaxed);
     let (sender, outgoing) = mpsc::channel(LINK_QUEUE_MAX);
     lock(&inner.state).accepted.insert(source, sender);
+    let from = session.peer.clone();
     run_link(
         socket,
         session,
         outgoing,
         |_: &LinkReply| 0,
         |request: LinkRequest| {
-            let _ = inner.events.send(LinkEvent::Request { source, request });
+            let _ = inner.events.send(LinkEvent::Request { source, from: from.clone(), request });
             0
         },
     )
--- a/crates/papayastack/src/link/message.rs
+++ b/crates/papayastack/src/link/message.rs
@@ -2,7 +2,9 @@
 
 use papayastack_macros::message;
 
+use crate::configuration::ConfigurationMessage;
 use crate::ids::{AttemptId, QueryId, ServiceName, ShardId, SnapshotVersion, UpstreamId};
+use crate::outcome::Refusal;
 use crate::query::AttemptOutcome;
 use crate::settings::QueryClass;
 use crate::upstream::Selection;
@@ -19,6 +21,10 @@
         /// The attempts.
         attempts: Vec<AttemptId>,
     },
+    /// Runs a submission whose bucket the peer owns.
+    Submit(SubmissionRelay),
+    /// Tells the peer of configuration; it calls for no reply.
+    Configuration(ConfigurationMessage),
 }
 
 /// What the accepting VM sends back.
@@ -26,6 +32,45 @@
 pub enum LinkReply {
     /// The result of one attempt; each attempt gets exactly one.
     Search(SearchResult),
+    /// The result of a relayed submission.
+    Submit {
+        /// The relay.
+        id: RelayId,
+        /// What became of it.
+        result: RelayResult,
+    },
+}
+
+/// Numbers a relayed submission within the VM that relays it.
+pub type RelayId = u64;
+
+/// A submission on its way to the VM that owns its bucket.
+#[message]
+pub struct SubmissionRelay {
+    /// The relay.
+    pub id: RelayId,
+    /// The service.
+    pub service: ServiceName,
+    /// The caller's key, not yet parsed.
+    pub key: Option<String>,
+    /// What is submitted.
+    pub body: serde_json::Value,
+    /// The time that is left, in milliseconds.
+    pub remaining_ms: u64,
+}
+
+/// What became of a relayed submission.
+#[message]
+pub enum RelayResult {
+    /// It ran.
+    Done {
+        /// The upstream's receipt.
+        receipt: String,
+        /// Whether another request with the same key ran it.
+        repeated: bool,
+    },
+    /// It was refused.
+    Refused(Refusal),
 }
 
 /// Attempts of one query for one owner.
@@ -80,7 +125,8 @@
     pub(crate) fn replies_expected(&self) -> usize {
         match self {
             Self::Search(batch) => batch.items.len(),
-            Self::Cancel { .. } => 0,
+            Self::Submit(_) => 1,
+            Self::Cancel { .. } | Self::Configuration(_) => 0,
         }
     }
 }
--- a/crates/papayastack/src/link/mod.rs
+++ b/crates/papayastack/src/link/mod.rs
@@ -13,4 +13,7 @@
 
 pub use codec::{FRAME_MAX_BYTES, FrameError, decode_frame, encode_frame};
 pub use hub::{LinkEvent, LinkHub, SourceId};
-pub use message::{LinkReply, LinkRequest, SearchBatch, SearchItem, SearchResult};
+pub use message::{
+    LinkReply, LinkRequest, RelayId, RelayResult, SearchBatch, SearchItem, SearchResult,
+    SubmissionRelay,
+};
--- a/crates/papayastack/src/vm/links.rs
+++ b/crates/papayastack/src/vm/links.rs
@@ -6,7 +6,10 @@
 use tokio::task::JoinHandle;
 
 use super::shared::Shared;
-use crate::link::{LinkEvent, LinkReply, LinkRequest, SourceId};
+use super::submit::run_relayed;
+use crate::configuration::ConfigurationMessage;
+use crate::ids::VmAddress;
+use crate::link::{LinkEvent, LinkHub, LinkReply, LinkRequest, SourceId};
 
 /// Spawns the task; it ends with the links.
 pub(crate) fn spawn_link_task(
@@ -16,18 +19,21 @@
     tokio::spawn(async move {
         while let Some(event) = events.recv().await {
             match event {
-                LinkEvent::Request { source, request } => on_request(&shared, source, request),
-                LinkEvent::Reply { reply: LinkReply::Search(result), .. } => {
-                    shared.pending.deliver(result);
+                LinkEvent::Request { source, from, request } => {
+                    on_request(&shared, source, from.address, request);
+                }
+                LinkEvent::Reply { from, reply } => on_reply(&shared, from, reply),
+                LinkEvent::Down { peer } => {
+                    shared.pending.peer_lost(peer);
+                    shared.relays.peer_lost(peer);
                 }
-                LinkEvent::Down { peer } => shared.pending.peer_lost(peer),
                 LinkEvent::SourceGone { source } => shared.desk.source_gone(source),
             }
         }
     })
 }
 
-fn on_request(shared: &Shared, source: SourceId, request: LinkRequest) {
+fn on_request(shared: &Arc<Shared>, source: SourceId, from: VmAddress, request: LinkRequest) {
     match request {
         LinkRequest::Search(batch) => {
             let in_force = shared.in_force.borrow().clone();
@@ -36,5 +42,30 @@
             shared.desk.search(source, batch, &routing.unwrap_or_default(), live_vms);
         }
         LinkRequest::Cancel { query, attempts } => shared.desk.cancel(source, query, &attempts),
+        LinkRequest::Submit(relay) => run_relayed(shared, source, relay),
+        LinkRequest::Configuration(message) => {
+            // A message that finds no room is made up for by the peer's next digest.
+            let _ = shared.configuration_inbound.try_send((from, message));
+        }
+    }
+}
+
+fn on_reply(shared: &Shared, from: VmAddress, reply: LinkReply) {
+    match reply {
+        LinkReply::Search(result) => shared.pending.deliver(result),
+        LinkReply::Submit { id, result } => shared.relays.answered(from, id, result),
     }
 }
+
+/// Spawns the task that takes configuration messages to the peers' links.
+pub(crate) fn spawn_configuration_sender(
+    hub: LinkHub,
+    mut outbound: mpsc::Receiver<(VmAddress, ConfigurationMessage)>,
+) -> JoinHandle<()> {
+    tokio::spawn(async move {
+        while let Some((peer, message)) = outbound.recv().await {
+            // A message that finds no room is made up for by the next digest.
+            let _ = hub.send(peer, LinkRequest::Configuration(message));
+        }
+    })
+}
--- a/crates/papayastack/src/vm/shared.rs
+++ b/crates/papayastack/src/vm/shared.rs
@@ -7,18 +7,21 @@
 use papayastack_macros::message;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 
 use super::desk::UpstreamDesk;
 use super::pending::PendingQueries;
+use super::submit::Relays;
 use crate::admission::Admission;
-use crate::configuration::InForce;
+use crate::configuration::{ConfigurationMessage, InForce};
 use crate::ids::{ServiceName, VmAddress};
 use crate::link::LinkHub;
 use crate::membership::MemberView;
+use crate::observe::{Metrics, Tracer};
 use crate::query::{Budgets, FanoutContext, Observations, QuantileTracker};
 use crate::routing::Directory;
 use crate::settings::QueryClass;
+use crate::submission::SubmissionDesk;
 
 /// The parts of one VM that requests pass through.
 pub(crate) struct Shared {
@@ -29,6 +32,11 @@
     pub(crate) hub: LinkHub,
     pub(crate) desk: UpstreamDesk,
     pub(crate) pending: Arc<PendingQueries>,
+    pub(crate) submissions: SubmissionDesk,
+    pub(crate) relays: Relays,
+    pub(crate) configuration_inbound: mpsc::Sender<(VmAddress, ConfigurationMessage)>,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) tracer: Tracer,
     pub(crate) decisions: Mutex<Decisions>,
 }
 
--- /dev/null
+++ b/crates/papayastack/src/vm/upstream_sender.rs
@@ -0,0 +1,82 @@
+//! The way of a submission to an upstream.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use rand::seq::SliceRandom;
+use tokio::sync::watch;
+
+use crate::outcome::RefusalReason;
+use crate::routing::Directory;
+use crate::submission::{SendOutcome, SubmissionSender};
+use crate::upstream::{SubmitReply, SubmitRequest, UpstreamClient};
+
+/// Upstreams that are asked in turn, each after a proven "not run" of the one before.
+const UPSTREAMS_TRIED_MAX: usize = 4;
+/// When to come back where no upstream could take the submission.
+const RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// Sends submissions to the upstreams of their service.
+pub(crate) struct UpstreamSender {
+    client: UpstreamClient,
+    directory: watch::Receiver<Arc<Directory>>,
+}
+
+impl UpstreamSender {
+    /// Sends through `client` to the upstreams that `directory` names.
+    pub(crate) fn new(
+        client: UpstreamClient,
+        directory: watch::Receiver<Arc<Directory>>,
+    ) -> Self {
+        Self { client, directory }
+    }
+
+    fn candidates(&self, service: &str) -> Vec<SocketAddr> {
+        let directory = Arc::clone(&self.directory.borrow());
+        let places = directory.upstreams.values().filter(|place| place.service == service);
+        let mut addresses: Vec<SocketAddr> = places.map(|place| place.address).collect();
+        addresses.shuffle(&mut StdRng::from_os_rng());
+        addresses.truncate(UPSTREAMS_TRIED_MAX);
+        addresses
+    }
+}
+
+#[async_trait]
+impl SubmissionSender for UpstreamSender {
+    async fn send(&self, request: SubmitRequest) -> SendOutcome {
+        let mut last = not_run(RefusalReason::UpstreamUnavailable, "the service has no upstream");
+        let limit = Duration::from_millis(request.remaining_ms);
+        for address in self.candidates(&request.service) {
+            let outcome = self.client.submit(address, &request, limit).await;
+            last = match outcome {
+                Ok(SubmitReply::Done { receipt }) => return SendOutcome::Done { receipt },
+                Ok(SubmitReply::Rejected { detail }) => {
+                    return SendOutcome::NotRun {
+                        reason: RefusalReason::BadRequest,
+                        detail,
+                        retry_after: None,
+                    };
+                }
+                Ok(SubmitReply::Shed { .. }) => {
+                    not_run(RefusalReason::Overloaded, "the upstreams asked are overloaded")
+                }
+                Ok(SubmitReply::Draining) => {
+                    not_run(RefusalReason::UpstreamUnavailable, "the upstreams asked are leaving")
+                }
+                Err(error) if error.proves_not_run() => {
+                    not_run(RefusalReason::UpstreamUnavailable, "no upstream could be reached")
+                }
+                Err(error) => return SendOutcome::Unknown { detail: error.to_string() },
+            };
+        }
+        last
+    }
+}
+
+fn not_run(reason: RefusalReason, detail: &str) -> SendOutcome {
+    SendOutcome::NotRun { reason, detail: detail.to_owned(), retry_after: Some(RETRY_AFTER) }
+}
