Let clients read a partial answer back

Cause: a QueryAnswer flattens its Answer, and flattened messages hold map keys as text, so serde could not read a coverage with missing shards: every partial answer was unreadable to a Rust client. Ruled out: a list of missing shards, as it would change the published JSON. Change: the wire form of the coverage keys its missing shards by text; the JSON stays the same, a binary codec now carries text keys too. Conclusion: the new test failed before ('invalid type: string "1", expected u32') and passes.

--- a/crates/papayastack/src/outcome/coverage.rs
+++ b/crates/papayastack/src/outcome/coverage.rs
@@ -121,7 +121,8 @@
     snapshot: SnapshotVersion,
     complete: bool,
     answered: BTreeSet<ShardId>,
-    missing: BTreeMap<ShardId, MissingReason>,
+    /// Keyed by text, as a flattened message does not read numbers from keys.
+    missing: BTreeMap<String, MissingReason>,
 }
 
 impl From<Coverage> for CoverageParts {
@@ -130,7 +131,11 @@
             snapshot: coverage.snapshot,
             complete: coverage.missing.is_empty(),
             answered: coverage.answered,
-            missing: coverage.missing,
+            missing: coverage
+                .missing
+                .into_iter()
+                .map(|(shard, reason)| (shard.to_string(), reason))
+                .collect(),
         }
     }
 }
@@ -142,6 +147,14 @@
         if parts.complete != parts.missing.is_empty() {
             return Err("`complete` contradicts `missing`".to_owned());
         }
-        Self::new(parts.snapshot, parts.answered, parts.missing).map_err(|error| error.to_string())
+        let missing = parts.missing.into_iter().map(missing_shard).collect::<Result<_, _>>()?;
+        Self::new(parts.snapshot, parts.answered, missing).map_err(|error| error.to_string())
     }
 }
+
+fn missing_shard(
+    (shard, reason): (String, MissingReason),
+) -> Result<(ShardId, MissingReason), String> {
+    let number = shard.parse().map_err(|_| format!("`{shard}` in `missing` is not a shard"))?;
+    Ok((number, reason))
+}
--- a/crates/papayastack/src/outcome/tests.rs
+++ b/crates/papayastack/src/outcome/tests.rs
@@ -77,3 +77,20 @@
     assert_eq!(refusal.certainty(), Certainty::OutcomeUnknown);
     assert_eq!(Custody::new().certainty(), Certainty::NotRun);
 }
+
+#[test]
+fn a_partial_answer_is_read_back_from_inside_another_message() {
+    #[papayastack_macros::message]
+    struct Envelope {
+        request_id: String,
+        #[serde(flatten)]
+        answer: Answer,
+    }
+    let answer =
+        Answer::merge("s".into(), coverage(&[0], &[1, 12]), &[partial(7, 0, &[])], 10).unwrap();
+    let envelope = Envelope { request_id: "r".to_owned(), answer };
+
+    let text = serde_json::to_string(&envelope).unwrap();
+
+    assert_eq!(serde_json::from_str::<Envelope>(&text).unwrap(), envelope);
+}
