Wire membership, configuration, submissions and the operators' port into the VM

Cause: members and configuration came from polling the platform, which costs calls that grow with the fleet, and submissions were not taken. Ruled out: one task for everything a configuration touches; each part takes what it needs from a watch instead. Change: the VM runs the membership protocol, the configuration driver over the links, the submission desk with relays, spans for entry, owner and attempt, metrics, the operators' port, and leaves in order: not handed out, waits for the last address answer to lapse, finishes, ends.

--- a/crates/papayastack-daemon/src/main.rs
+++ b/crates/papayastack-daemon/src/main.rs
@@ -5,7 +5,7 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 
-use papayastack::{HttpPlatform, LocalSettings, Vm};
+use papayastack::{HttpPlatform, LocalSettings, LogSettings, Vm, open_logs};
 use tokio::signal::unix::{SignalKind, signal};
 
 use options::{HELP, Request, USAGE_EXIT};
@@ -21,7 +21,7 @@
             println!("papayad {}", env!("CARGO_PKG_VERSION"));
             ExitCode::SUCCESS
         }
-        Ok(Request::Run(local)) => match run(local).await {
+        Ok(Request::Run(local, logs)) => match run(*local, &logs).await {
             Ok(()) => ExitCode::SUCCESS,
             Err(problem) => {
                 eprintln!("papayad: {problem}");
@@ -36,7 +36,8 @@
 }
 
 /// Runs the VM until SIGTERM or ctrl-c, then leaves without cutting a request.
-async fn run(local: LocalSettings) -> Result<(), String> {
+async fn run(local: LocalSettings, logs: &LogSettings) -> Result<(), String> {
+    open_logs(logs).map_err(|report| report.to_string())?;
     let mut terminate = signal(SignalKind::terminate()).map_err(|error| error.to_string())?;
     let platform = Arc::new(HttpPlatform::open(local.platform_addresses.clone()));
     let vm = Vm::bind(local, platform).await.map_err(|report| report.to_string())?;
@@ -45,12 +46,14 @@
         serde_json::json!({
             "caller_address": vm.caller_address(),
             "link_address": vm.link_address(),
+            "operator_address": vm.operator_address(),
         })
     );
     tokio::select! {
         _ = terminate.recv() => {}
         _ = tokio::signal::ctrl_c() => {}
+        () = vm.drain_asked() => {}
     }
-    vm.shutdown().await;
+    vm.leave().await;
     Ok(())
 }
--- a/crates/papayastack-daemon/src/options.rs
+++ b/crates/papayastack-daemon/src/options.rs
@@ -3,7 +3,7 @@
 use std::io::Read;
 use std::net::SocketAddr;
 
-use papayastack::LocalSettings;
+use papayastack::{LocalSettings, LogFormat, LogSettings};
 use pico_args::Arguments;
 
 /// The exit code after a wrong command line or wrong settings.
@@ -24,6 +24,8 @@
   --link ADDRESS          the address for links and datagrams between VMs (default 127.0.0.1:0)
   --caller ADDRESS        the address for callers (default 127.0.0.1:0)
   --operator ADDRESS      the address for operators (default 127.0.0.1:0)
+  --log-json              write logs as JSON lines instead of text
+  --spans                 write the spans of sampled traces as JSON lines
   --help                  print this text
   --version               print the version
 
@@ -36,7 +38,7 @@
 pub(crate) enum Request {
     Help,
     Version,
-    Run(LocalSettings),
+    Run(Box<LocalSettings>, LogSettings),
 }
 
 /// Reads the arguments of this process.
@@ -48,6 +50,9 @@
     if arguments.contains(["-V", "--version"]) {
         return Ok(Request::Version);
     }
+    let format = if arguments.contains("--log-json") { LogFormat::Json } else { LogFormat::Text };
+    let spans = arguments.contains("--spans");
+    let logs = LogSettings { format, spans, ..LogSettings::default() };
     let file: Option<String> = optional(&mut arguments, "--settings")?;
     let mut local = match file {
         Some(file) => read_settings(&file)?,
@@ -58,7 +63,7 @@
         return Err(format!("unknown argument `{}`", unknown.to_string_lossy()));
     }
     check(&local)?;
-    Ok(Request::Run(local))
+    Ok(Request::Run(Box::new(local), logs))
 }
 
 fn override_settings(local: &mut LocalSettings, arguments: &mut Arguments) -> Result<(), String> {
--- a/crates/papayastack/src/membership/driver.rs
+++ b/crates/papayastack/src/membership/driver.rs
@@ -129,7 +129,7 @@
     }
 
     /// Tells the others that this VM ends now, and stops.
-    pub async fn end(self) {
+    pub async fn end(&self) {
         let (done, ended) = oneshot::channel();
         self.command(Command::End(done));
         // The task drops the sender if it has ended already.
--- a/crates/papayastack/src/observe/mod.rs
+++ b/crates/papayastack/src/observe/mod.rs
@@ -8,6 +8,7 @@
 mod tests;
 mod trace;
 
+pub(crate) use labels::attempt_name;
 pub use labels::{PlatformCall, QueryOutcome, SubmissionOutcome};
 pub use logs::{LogError, LogFormat, LogSettings, open_logs};
 pub use metrics::{DispatchLevels, Metrics, RequestGuard};
--- a/crates/papayastack/src/vm/desk.rs
+++ b/crates/papayastack/src/vm/desk.rs
@@ -10,8 +10,9 @@
 use super::pending::PendingQueries;
 use super::shared::lock;
 use crate::dispatch::{CancelResult, Gate, GateLimits, OfferResult, Ticket, Waiting};
-use crate::ids::{AttemptId, QueryId, ShardId};
+use crate::ids::{AttemptId, QueryId, ShardId, VmAddress};
 use crate::link::{LinkHub, LinkReply, SearchBatch, SearchItem, SearchResult, SourceId};
+use crate::observe::{ActiveSpan, Hop, Metrics, SpanIds, TraceContext, Tracer, attempt_name};
 use crate::query::{AttemptOutcome, FailureReason, NotRunReason};
 use crate::routing::{Directory, UpstreamIndex, UpstreamPlace, direct_share};
 use crate::settings::{RoutingPolicy, RoutingSettings};
@@ -37,6 +38,9 @@
     hub: LinkHub,
     pending: Arc<PendingQueries>,
     directory: watch::Receiver<Arc<Directory>>,
+    metrics: Arc<Metrics>,
+    tracer: Arc<Tracer>,
+    address: VmAddress,
     state: Mutex<State>,
 }
 
@@ -54,11 +58,25 @@
 struct Job {
     upstream: UpstreamIndex,
     address: SocketAddr,
-    batch: Arc<SearchBatch>,
+    batch: Arc<OwnedBatch>,
     shard: ShardId,
     deadline: Instant,
 }
 
+/// A batch with the owner's span, which ends with the last job of the batch.
+struct OwnedBatch {
+    request: SearchBatch,
+    span: Option<ActiveSpan>,
+}
+
+impl Drop for OwnedBatch {
+    fn drop(&mut self) {
+        if let Some(span) = self.span.take() {
+            span.end("done");
+        }
+    }
+}
+
 /// Counts of the desk at one moment.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct DeskCounts {
@@ -75,9 +93,13 @@
         hub: LinkHub,
         pending: Arc<PendingQueries>,
         directory: watch::Receiver<Arc<Directory>>,
+        metrics: Arc<Metrics>,
+        tracer: Arc<Tracer>,
+        address: VmAddress,
     ) -> Self {
         let state = Mutex::new(State::default());
-        Self { inner: Arc::new(Inner { client, hub, pending, directory, state }) }
+        let inner = Inner { client, hub, pending, directory, metrics, tracer, address, state };
+        Self { inner: Arc::new(inner) }
     }
 
     /// Takes a batch; each of its items gets exactly one result.
@@ -91,14 +113,21 @@
         let directory = Arc::clone(&self.inner.directory.borrow());
         let now = Instant::now();
         let deadline = now + Duration::from_millis(batch.remaining_ms);
-        let batch = Arc::new(batch);
-        for item in &batch.items {
+        let span = self.owner_span(&batch);
+        let batch = Arc::new(OwnedBatch { request: batch, span });
+        for item in &batch.request.items {
             let place = directory
                 .indices
                 .get(&item.upstream)
                 .and_then(|index| Some((*index, directory.upstreams.get(index)?)));
             let Some((upstream, place)) = place else {
-                self.refuse(source, batch.query, item.attempt, NotRunReason::UnknownUpstream, 0);
+                self.refuse(
+                    source,
+                    batch.request.query,
+                    item.attempt,
+                    NotRunReason::UnknownUpstream,
+                    0,
+                );
                 continue;
             };
             let limits = gate_limits(place, routing, live_vms);
@@ -162,8 +191,8 @@
         limits: GateLimits,
         now: Instant,
     ) {
-        let ticket = Ticket { source, query: job.batch.query, attempt };
-        let class = job.batch.class;
+        let ticket = Ticket { source, query: job.batch.request.query, attempt };
+        let class = job.batch.request.class;
         let mut state = lock(&self.inner.state);
         if state.jobs.contains_key(&ticket) {
             return;
@@ -198,11 +227,41 @@
     fn start(&self, ticket: Ticket) {
         let desk = self.clone();
         tokio::spawn(async move {
+            let span = desk.attempt_span(&ticket);
             let outcome = desk.run(ticket).await;
+            desk.inner.metrics.attempt_ended(&outcome);
+            if let Some(span) = span {
+                span.end(attempt_name(&outcome));
+            }
             desk.ended(ticket, outcome);
         });
     }
 
+    /// Starts the owner's span; `None` for a trace that is not recorded.
+    fn owner_span(&self, batch: &SearchBatch) -> Option<ActiveSpan> {
+        let parent = TraceContext::parse(&batch.traceparent).filter(|trace| trace.sampled)?;
+        Some(self.inner.tracer.start(Hop::Owner, &parent, || SpanIds {
+            vm: Some(self.inner.address),
+            service: Some(batch.service.clone()),
+            query: Some(batch.query),
+            ..SpanIds::default()
+        }))
+    }
+
+    fn attempt_span(&self, ticket: &Ticket) -> Option<ActiveSpan> {
+        let state = lock(&self.inner.state);
+        let job = state.jobs.get(ticket)?;
+        let parent = job.batch.span.as_ref()?.context();
+        Some(self.inner.tracer.start(Hop::UpstreamAttempt, parent, || SpanIds {
+            vm: Some(self.inner.address),
+            service: Some(job.batch.request.service.clone()),
+            query: Some(ticket.query),
+            attempt: Some(ticket.attempt),
+            shard: Some(job.shard),
+            ..SpanIds::default()
+        }))
+    }
+
     async fn run(&self, ticket: Ticket) -> AttemptOutcome {
         let Some((address, request, left)) = self.search_request(&ticket) else {
             return AttemptOutcome::NotRun(NotRunReason::Cancelled);
@@ -222,13 +281,13 @@
         let job = state.jobs.get(ticket)?;
         let left = job.deadline.saturating_duration_since(Instant::now());
         let request = SearchRequest {
-            service: job.batch.service.clone(),
+            service: job.batch.request.service.clone(),
             query: ticket.query,
             attempt: ticket.attempt,
             shard: job.shard,
-            snapshot: job.batch.snapshot,
-            selection: job.batch.selection.clone(),
-            hits_limit: job.batch.hits_limit,
+            snapshot: job.batch.request.snapshot,
+            selection: job.batch.request.selection.clone(),
+            hits_limit: job.batch.request.hits_limit,
             remaining_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
         };
         Some((job.address, request, left))
@@ -343,7 +402,7 @@
 fn new_job(
     upstream: UpstreamIndex,
     place: &UpstreamPlace,
-    batch: &Arc<SearchBatch>,
+    batch: &Arc<OwnedBatch>,
     item: &SearchItem,
     deadline: Instant,
 ) -> Job {
--- a/crates/papayastack/src/vm/entry.rs
+++ b/crates/papayastack/src/vm/entry.rs
@@ -11,6 +11,7 @@
 use crate::caller::{QueryAnswer, QueryRequest, RefusalAnswer, RequestContext};
 use crate::configuration::InForce;
 use crate::ids::ServiceName;
+use crate::observe::{ActiveSpan, Hop, QueryOutcome, SpanIds};
 use crate::outcome::{Answer, Custody, MissingReason, Refusal, RefusalReason};
 use crate::query::{FanoutCounts, FanoutSpec};
 use crate::routing::Directory;
@@ -30,16 +31,44 @@
     context: RequestContext,
 ) -> Result<QueryAnswer, RefusalAnswer> {
     let request_id = context.request_id.clone();
-    match run_query(shared, request, &context).await {
-        Ok(answer) => {
-            let elapsed_ms = context.accepted_at.elapsed().as_millis();
-            let elapsed_ms = u64::try_from(elapsed_ms).unwrap_or(u64::MAX);
-            Ok(QueryAnswer { request_id, answer, elapsed_ms })
+    let class = request.class;
+    let accepted_at = context.accepted_at;
+    let (span, context) = entry_span(shared, &request, context);
+    let result = run_query(shared, request, &context).await;
+    let elapsed = accepted_at.elapsed();
+    let (outcome, coverage) = match &result {
+        Ok(answer) => (QueryOutcome::of_answer(answer), Some(answer.coverage())),
+        Err(refusal) => {
+            shared.metrics.refused(refusal.reason());
+            (QueryOutcome::of_refusal(refusal), None)
         }
+    };
+    shared.metrics.query_ended(class, outcome, elapsed, coverage);
+    span.end(outcome.name());
+    let elapsed_ms = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
+    match result {
+        Ok(answer) => Ok(QueryAnswer { request_id, answer, elapsed_ms }),
         Err(refusal) => Err(RefusalAnswer { request_id, refusal }),
     }
 }
 
+/// Starts the entry's span; the returned context passes it on to the next hop.
+fn entry_span(
+    shared: &Shared,
+    request: &QueryRequest,
+    mut context: RequestContext,
+) -> (ActiveSpan, RequestContext) {
+    let trace = shared.tracer.sample(context.trace.clone());
+    let span = shared.tracer.start(Hop::Entry, &trace, || SpanIds {
+        vm: Some(shared.address),
+        request_id: Some(context.request_id.clone()),
+        service: Some(request.service.clone()),
+        ..SpanIds::default()
+    });
+    context.trace = span.context().clone();
+    (span, context)
+}
+
 async fn run_query(
     shared: &Shared,
     request: QueryRequest,
@@ -52,6 +81,7 @@
     let admitted = Admitted::admit(shared, &request.service, request.class, &class)?;
     let query = Query { shared, in_force, request, class, deadline, context };
     let (answer, counts) = query.run().await?;
+    shared.metrics.sub_requests(query.request.class, &counts);
     admitted.end(&answer);
     refuse_if_nothing_ran(answer, &counts)
 }
--- a/crates/papayastack/src/vm/metered_platform.rs
+++ b/crates/papayastack/src/vm/metered_platform.rs
@@ -59,11 +59,7 @@
         self.counted(PlatformCall::Update, result)
     }
 
-    async fn delete(
-        &self,
-        name: &ObjectName,
-        version: ObjectVersion,
-    ) -> Result<(), PlatformError> {
+    async fn delete(&self, name: &ObjectName, version: ObjectVersion) -> Result<(), PlatformError> {
         let result = self.platform.delete(name, version).await;
         self.counted(PlatformCall::Delete, result)
     }
--- a/crates/papayastack/src/vm/mod.rs
+++ b/crates/papayastack/src/vm/mod.rs
@@ -3,12 +3,16 @@
 mod desk;
 mod directory_task;
 mod entry;
-mod follow;
+mod leave;
 mod links;
+mod metered_platform;
 mod pending;
 mod query_run;
+mod service;
 mod shared;
 mod start;
+mod submit;
+mod upstream_sender;
 
 pub use shared::VmCounts;
 pub use start::{Vm, VmError};
--- a/crates/papayastack/src/vm/shared.rs
+++ b/crates/papayastack/src/vm/shared.rs
@@ -16,7 +16,7 @@
 use crate::configuration::{ConfigurationMessage, InForce};
 use crate::ids::{ServiceName, VmAddress};
 use crate::link::LinkHub;
-use crate::membership::MemberView;
+use crate::membership::{MemberView, VmIdentity};
 use crate::observe::{Metrics, Tracer};
 use crate::query::{Budgets, FanoutContext, Observations, QuantileTracker};
 use crate::routing::Directory;
@@ -26,6 +26,8 @@
 /// The parts of one VM that requests pass through.
 pub(crate) struct Shared {
     pub(crate) address: VmAddress,
+    pub(crate) identity: VmIdentity,
+    pub(crate) leaving: watch::Sender<bool>,
     pub(crate) in_force: watch::Receiver<Option<Arc<InForce>>>,
     pub(crate) members: watch::Receiver<Arc<MemberView>>,
     pub(crate) directory: watch::Receiver<Arc<Directory>>,
@@ -36,7 +38,7 @@
     pub(crate) relays: Relays,
     pub(crate) configuration_inbound: mpsc::Sender<(VmAddress, ConfigurationMessage)>,
     pub(crate) metrics: Arc<Metrics>,
-    pub(crate) tracer: Tracer,
+    pub(crate) tracer: Arc<Tracer>,
     pub(crate) decisions: Mutex<Decisions>,
 }
 
--- a/crates/papayastack/src/vm/start.rs
+++ b/crates/papayastack/src/vm/start.rs
@@ -1,37 +1,43 @@
-//! Starting and stopping one VM.
+//! Starting one VM.
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{SystemTime, UNIX_EPOCH};
 
-use async_trait::async_trait;
 use error_stack::{Report, ResultExt};
 use papayastack_macros::value;
 use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
 
 use super::desk::UpstreamDesk;
 use super::directory_task::spawn_directory_task;
-use super::entry::answer_query;
-use super::follow::spawn_follow_task;
-use super::links::spawn_link_task;
+use super::links::{spawn_configuration_sender, spawn_link_task};
+use super::metered_platform::MeteredPlatform;
 use super::pending::PendingQueries;
+use super::service::VmService;
 use super::shared::{Decisions, Shared, VmCounts};
-use crate::caller::{
-    AddressesAnswer, CallerServer, CallerService, QueryAnswer, QueryRequest, RefusalAnswer,
-    RequestContext, SubmissionAnswer, SubmissionRequest,
-};
-use crate::ids::{DataCentreName, Incarnation, VmAddress};
+use super::submit::Relays;
+use super::upstream_sender::UpstreamSender;
+use crate::caller::CallerServer;
+use crate::configuration::{ConfigurationDriver, ConfigurationHandle, InForce};
+use crate::ids::{Incarnation, VmAddress};
 use crate::link::LinkHub;
-use crate::membership::{Member, MemberState, VmIdentity};
-use crate::outcome::{Custody, RefusalReason};
+use crate::membership::{Member, MemberState, MemberView, Membership, VmIdentity};
+use crate::observe::{IdSource, Metrics, Tracer};
+use crate::operator::OperatorServer;
 use crate::platform::Platform;
 use crate::seal::Keyring;
-use crate::settings::{LimitSettings, LocalSettings};
+use crate::settings::{LocalSettings, MembershipSettings, SubmissionSettings};
+use crate::submission::SubmissionDesk;
 use crate::upstream::UpstreamClient;
 
 /// Idle connections that a VM keeps to one upstream.
 const IDLE_CONNECTIONS_MAX: usize = 8;
+/// Configuration messages that may wait in each direction.
+const CONFIGURATION_QUEUE_MAX: usize = 1_024;
+/// Ports tried until one is free for both links and datagrams.
+const PORT_TRIES: u32 = 16;
 
 /// Says why a VM could not start.
 #[value]
@@ -60,52 +66,84 @@
 
 /// A running VM.
 pub struct Vm {
-    shared: Arc<Shared>,
-    callers: CallerServer,
-    tasks: Vec<JoinHandle<()>>,
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) callers: CallerServer,
+    pub(crate) operators: OperatorServer,
+    pub(crate) membership: Arc<Membership>,
+    pub(crate) configuration: ConfigurationHandle,
+    pub(crate) tasks: Vec<JoinHandle<()>>,
 }
 
 impl Vm {
     /// Binds the VM's addresses and starts its parts; port 0 takes free ports.
     ///
     /// # Errors
-    /// An address that is not local or in use.
+    /// An address that is not local or in use, or keys that cannot be used.
     pub async fn bind(
-        local: LocalSettings,
+        mut local: LocalSettings,
         platform: Arc<dyn Platform>,
     ) -> Result<Self, Report<VmError>> {
         let keyring = Keyring::new(&local.system_keys).change_context(VmError::Keys)?;
-        let failed = |address| VmError::Bind { address };
-        let link_error = failed(local.link_address);
-        let listener =
-            TcpListener::bind(local.link_address).await.change_context(link_error.clone())?;
-        let address = listener.local_addr().change_context(link_error)?;
-        let own = own_member(&local, address);
-        let identity = own.identity.clone();
-        let follow = spawn_follow_task(platform, local.clone(), own);
-        let (in_force, members) = (follow.in_force, follow.members);
+        let keyring = Arc::new(keyring);
+        let metrics = Metrics::new();
+        let platform: Arc<dyn Platform> =
+            Arc::new(MeteredPlatform::new(platform, Arc::clone(&metrics)));
+        let (listener, membership, identity) =
+            bind_link_address(&local, Arc::clone(&platform), Arc::clone(&keyring)).await?;
+        local.link_address = identity.address;
+        let members = membership.view();
+        let (hub, events) = LinkHub::bind(listener, identity.clone(), keyring);
+        let (outbound, outbound_messages) = mpsc::channel(CONFIGURATION_QUEUE_MAX);
+        let (configuration_inbound, inbound_messages) = mpsc::channel(CONFIGURATION_QUEUE_MAX);
+        let configuration = ConfigurationDriver::spawn(
+            Arc::clone(&platform),
+            &local,
+            members.clone(),
+            outbound,
+            inbound_messages,
+        );
+        let in_force = configuration.in_force.clone();
         let (directory, resolve) = spawn_directory_task(in_force.clone(), members.clone());
-        let (hub, events) = LinkHub::bind(listener, identity, Arc::new(keyring));
         let pending = Arc::new(PendingQueries::default());
         let client = UpstreamClient::open(IDLE_CONNECTIONS_MAX);
-        let desk = UpstreamDesk::open(client, hub.clone(), Arc::clone(&pending), directory.clone());
-        let decisions = Mutex::new(Decisions::new(incarnation_now()));
+        let sender = Arc::new(UpstreamSender::new(client.clone(), directory.clone()));
+        let tracer = Arc::new(Tracer::open(IdSource::open(), 0));
+        let desk = UpstreamDesk::open(
+            client,
+            hub.clone(),
+            Arc::clone(&pending),
+            directory.clone(),
+            Arc::clone(&metrics),
+            Arc::clone(&tracer),
+            identity.address,
+        );
         let shared = Arc::new(Shared {
-            address,
+            desk,
+            submissions: SubmissionDesk::spawn(platform, SubmissionSettings::default(), sender),
+            decisions: Mutex::new(Decisions::new(identity.incarnation)),
+            relays: Relays::default(),
+            tracer,
+            leaving: watch::Sender::new(false),
+            address: identity.address,
+            identity,
             in_force,
             members,
             directory,
-            hub,
-            desk,
+            hub: hub.clone(),
             pending,
-            decisions,
+            configuration_inbound,
+            metrics,
         });
-        let links = spawn_link_task(Arc::clone(&shared), events);
-        let service = Arc::new(VmService { shared: Arc::clone(&shared) });
-        let callers = CallerServer::bind(local.caller_address, service)
-            .await
-            .change_context(failed(local.caller_address))?;
-        Ok(Self { shared, callers, tasks: vec![follow.task, resolve, links] })
+        let service = Arc::new(VmService::new(Arc::clone(&shared)));
+        let (callers, operators) = bind_servers(&local, &service).await?;
+        membership.set_caller_address(callers.address());
+        let tasks = vec![
+            resolve,
+            spawn_link_task(Arc::clone(&shared), events),
+            spawn_configuration_sender(hub, outbound_messages),
+        ];
+        let membership = Arc::new(membership);
+        Ok(Self { shared, callers, operators, membership, configuration, tasks }.following())
     }
 
     /// Returns the address for callers.
@@ -113,75 +151,88 @@
         self.callers.address()
     }
 
+    /// Returns the address for operators.
+    pub fn operator_address(&self) -> SocketAddr {
+        self.operators.address()
+    }
+
     /// Returns the address for links and datagrams.
     pub fn link_address(&self) -> VmAddress {
         self.shared.address
     }
 
+    /// Returns the members as this VM sees them.
+    pub fn members(&self) -> watch::Receiver<Arc<MemberView>> {
+        self.shared.members.clone()
+    }
+
+    /// Returns what is in force on this VM.
+    pub fn in_force(&self) -> watch::Receiver<Option<Arc<InForce>>> {
+        self.shared.in_force.clone()
+    }
+
     /// Returns how much work the VM holds.
     pub fn counts(&self) -> VmCounts {
         self.shared.counts()
     }
 
-    /// Finishes the requests in flight and stops.
-    pub async fn shutdown(self) {
-        self.callers.shutdown().await;
-        self.shared.hub.close();
-        for task in self.tasks {
-            task.abort();
-        }
+    /// Starts the task that hands each configuration in force to the VM's parts.
+    fn following(mut self) -> Self {
+        let mut in_force = self.configuration.in_force.clone();
+        let shared = Arc::clone(&self.shared);
+        let membership = Arc::clone(&self.membership);
+        self.tasks.push(tokio::spawn(async move {
+            loop {
+                let current = in_force.borrow_and_update().clone();
+                if let Some(current) = current {
+                    membership.configure(&current.settings);
+                    membership.set_configuration_version(current.configuration_version);
+                    shared.submissions.configure(current.settings.submissions.clone());
+                }
+                if in_force.changed().await.is_err() {
+                    return;
+                }
+            }
+        }));
+        self
     }
 }
 
-/// Answers callers on behalf of the VM.
-struct VmService {
-    shared: Arc<Shared>,
+async fn bind_servers(
+    local: &LocalSettings,
+    service: &Arc<VmService>,
+) -> Result<(CallerServer, OperatorServer), Report<VmError>> {
+    let callers = CallerServer::bind(local.caller_address, Arc::clone(service) as _)
+        .await
+        .change_context(VmError::Bind { address: local.caller_address })?;
+    let operators = OperatorServer::bind(local.operator_address, Arc::clone(service) as _)
+        .await
+        .change_context(VmError::Bind { address: local.operator_address })?;
+    Ok((callers, operators))
 }
 
-#[async_trait]
-impl CallerService for VmService {
-    async fn query(
-        &self,
-        request: QueryRequest,
-        context: RequestContext,
-    ) -> Result<QueryAnswer, RefusalAnswer> {
-        answer_query(&self.shared, request, context).await
-    }
-
-    async fn submit(
-        &self,
-        _request: SubmissionRequest,
-        context: RequestContext,
-    ) -> Result<SubmissionAnswer, RefusalAnswer> {
-        let refusal = Custody::new().refuse(
-            RefusalReason::NotReady,
-            "this VM does not take submissions",
-            Some(Duration::from_secs(1)),
-        );
-        Err(RefusalAnswer { request_id: context.request_id, refusal })
-    }
-
-    async fn addresses(
-        &self,
-        _data_centre: Option<DataCentreName>,
-    ) -> Result<AddressesAnswer, RefusalAnswer> {
-        let view = Arc::clone(&self.shared.members.borrow());
-        let lifetime_ms = self
-            .shared
-            .in_force
-            .borrow()
-            .as_ref()
-            .map_or(1_000, |current| current.settings.addresses.lifetime_ms);
-        Ok(AddressesAnswer {
-            addresses: view.live().map(|member| member.caller_address).collect(),
-            data_centres: view.live().map(|member| member.data_centre.clone()).collect(),
-            lifetime_ms,
-        })
-    }
-
-    fn limits(&self) -> LimitSettings {
-        let in_force = self.shared.in_force.borrow().clone();
-        in_force.map(|current| current.settings.limits.clone()).unwrap_or_default()
+/// Binds one port for links and datagrams both.
+async fn bind_link_address(
+    local: &LocalSettings,
+    platform: Arc<dyn Platform>,
+    keyring: Arc<Keyring>,
+) -> Result<(TcpListener, Membership, VmIdentity), Report<VmError>> {
+    let error = VmError::Bind { address: local.link_address };
+    let mut tries = if local.link_address.port() == 0 { PORT_TRIES } else { 1 };
+    loop {
+        let listener = TcpListener::bind(local.link_address).await.change_context(error.clone())?;
+        let address = listener.local_addr().change_context(error.clone())?;
+        let own = own_member(local, address);
+        let identity = own.identity.clone();
+        let settings = MembershipSettings::default();
+        let bound =
+            Membership::bind(own, settings, Arc::clone(&platform), Arc::clone(&keyring)).await;
+        tries -= 1;
+        match bound {
+            Ok(membership) => return Ok((listener, membership, identity)),
+            Err(report) if tries == 0 => return Err(report.change_context(error)),
+            Err(_) => {}
+        }
     }
 }
 
--- a/crates/papayastack/src/vm/submit.rs
+++ b/crates/papayastack/src/vm/submit.rs
@@ -102,8 +102,7 @@
     check_submission(&in_force, &request)?;
     let wait = request.deadline_ms.map_or(DEADLINE_DEFAULT, Duration::from_millis);
     let deadline = context.accepted_at + wait.min(DEADLINE_MAX);
-    let submission =
-        Submission { service: request.service, key: request.key, body: request.body };
+    let submission = Submission { service: request.service, key: request.key, body: request.body };
     match owner_of(&shared, &submission).await {
         Some(owner) => relay(&shared, owner, submission, deadline).await,
         None => shared.submissions.submit(submission, deadline).await,
@@ -198,8 +197,7 @@
     let shared = Arc::clone(shared);
     tokio::spawn(async move {
         let deadline = Instant::now() + Duration::from_millis(relay.remaining_ms);
-        let submission =
-            Submission { service: relay.service, key: relay.key, body: relay.body };
+        let submission = Submission { service: relay.service, key: relay.key, body: relay.body };
         let result = match shared.submissions.submit(submission, deadline).await {
             Ok(done) => RelayResult::Done { receipt: done.receipt, repeated: done.repeated },
             Err(refusal) => RelayResult::Refused(refusal),
--- a/crates/papayastack/src/vm/upstream_sender.rs
+++ b/crates/papayastack/src/vm/upstream_sender.rs
@@ -28,10 +28,7 @@
 
 impl UpstreamSender {
     /// Sends through `client` to the upstreams that `directory` names.
-    pub(crate) fn new(
-        client: UpstreamClient,
-        directory: watch::Receiver<Arc<Directory>>,
-    ) -> Self {
+    pub(crate) fn new(client: UpstreamClient, directory: watch::Receiver<Arc<Directory>>) -> Self {
         Self { client, directory }
     }
 
