Judge from status answers whether a version is in force everywhere

The status of a VM names its members with the version that each last announced; a VM's own answer counts for itself, an announcement can only be too low, and of two processes at one address the later counts. Nobody known is not everywhere. The driver takes the bound address and the site, because the local settings may name port 0.

--- a/crates/papayastack/src/configuration/driver.rs
+++ b/crates/papayastack/src/configuration/driver.rs
@@ -13,10 +13,9 @@
 use super::machine::{ConfigurationCounters, ConfigurationMachine, ConfigurationOutput};
 use super::message::ConfigurationMessage;
 use super::store::RefusedDocument;
-use crate::ids::VmAddress;
+use crate::ids::{SiteName, VmAddress};
 use crate::membership::MemberView;
 use crate::platform::{Object, ObjectName, ObjectVersion, Platform, PlatformError};
-use crate::settings::LocalSettings;
 
 /// How much longer than its wait a watch may take before its answer counts as lost.
 const ANSWER_GRACE: Duration = Duration::from_secs(5);
@@ -52,20 +51,21 @@
 }
 
 impl ConfigurationDriver {
-    /// Spawns the driver of the VM that `local` describes.
+    /// Spawns the driver of the VM of `site` that peers know by the address `own`.
     ///
     /// Messages to peers go to `outbound`, those from peers come by `inbound`; where `outbound`
     /// is full, a message is dropped and a later digest makes up for it.
     pub fn spawn(
         platform: Arc<dyn Platform>,
-        local: &LocalSettings,
+        own: VmAddress,
+        site: SiteName,
         members: watch::Receiver<Arc<MemberView>>,
         outbound: mpsc::Sender<(VmAddress, ConfigurationMessage)>,
         inbound: mpsc::Receiver<(VmAddress, ConfigurationMessage)>,
     ) -> ConfigurationHandle {
         let seed = rand::rng().next_u64();
         let now = Instant::now().into_std();
-        let machine = ConfigurationMachine::open(local.link_address, local.site.clone(), seed, now);
+        let machine = ConfigurationMachine::open(own, site, seed, now);
         let (in_force_sender, in_force) = watch::channel(None);
         let (status_sender, status) = watch::channel(ConfigurationStatus::default());
         let running = Running {
--- a/crates/papayastack/src/configuration/mod.rs
+++ b/crates/papayastack/src/configuration/mod.rs
@@ -7,6 +7,8 @@
 mod machine;
 mod message;
 mod peers;
+mod rollout;
+mod status;
 mod store;
 #[cfg(test)]
 mod tests;
@@ -17,4 +19,6 @@
 pub use driver::{ConfigurationDriver, ConfigurationHandle, ConfigurationStatus};
 pub use machine::{ConfigurationCounters, ConfigurationMachine, ConfigurationOutput};
 pub use message::{ConfigurationMessage, DocumentContent, DocumentUpdate, HeldDocument};
+pub use rollout::{LagReason, LaggingVm, Rollout};
+pub use status::{DRAIN_PATH, STATUS_PATH, VmStatus};
 pub use store::{RefusedDocument, catalogue_object, configuration_object};
--- a/crates/papayastack/src/configuration/tests/mod.rs
+++ b/crates/papayastack/src/configuration/tests/mod.rs
@@ -1,6 +1,8 @@
 //! Tests of the configuration.
 
 mod adoption;
+mod driver;
 mod fleet;
 mod gossip;
+mod rollout;
 mod store;
