--- a/crates/papayastack/src/lib.rs
+++ b/crates/papayastack/src/lib.rs
@@ -21,6 +21,8 @@
 //! | `upstream` | the upstreams' protocol and client |
 //! | `caller` | the callers' protocol and HTTP server |
 //! | `observe` | trace contexts, spans, logs, metrics |
+//! | `submission` | submissions that run at most once |
+//! | `operator` | the operators' HTTP server |
 
 mod admission;
 mod caller;
@@ -31,12 +33,14 @@
 mod link;
 mod membership;
 mod observe;
+mod operator;
 mod outcome;
 mod platform;
 mod query;
 mod routing;
 mod seal;
 mod settings;
+mod submission;
 mod upstream;
 mod vm;
 
@@ -49,11 +53,13 @@
 pub use link::*;
 pub use membership::*;
 pub use observe::*;
+pub use operator::*;
 pub use outcome::*;
 pub use platform::*;
 pub use query::*;
 pub use routing::*;
 pub use seal::*;
 pub use settings::*;
+pub use submission::*;
 pub use upstream::*;
 pub use vm::*;
