Prune the ledger without reopening keys; check random interleavings

Cause: objects must be deleted after the retention window, yet a VM whose clocks stood still (paused, resumed from an image) would create the object of a pruned key again and run it twice.

Change: a pruning pass raises the floor by a conditional update before it deletes anything. It goes only as far as both its clock and the newest era in the ledger allow, so a clock that runs ahead deletes nothing.

Ruled out: trusting a clock check alone (clocks that stand still pass it); listing all ledger objects to prune (some 100,000 names in one answer).

--- a/crates/papayastack/src/submission/driver.rs
+++ b/crates/papayastack/src/submission/driver.rs
@@ -281,7 +281,7 @@
     SendOutcome::Unknown { detail: detail.to_owned() }
 }
 
-fn system_unix_ms() -> u64 {
+pub(crate) fn system_unix_ms() -> u64 {
     let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/papayastack/src/submission/layout.rs
+++ b/crates/papayastack/src/submission/layout.rs
@@ -21,7 +21,8 @@
 /// The shortest span of issue times in one ledger object, in milliseconds.
 const SLOT_MIN_MS: u64 = 100;
 
-const LAYOUT_KIND: &str = "ledger-era";
+/// The kind of the objects that hold layouts.
+pub(crate) const LAYOUT_KIND: &str = "ledger-era";
 const LEDGER_KIND: &str = "ledger";
 const FLOOR_KIND: &str = "ledger-floor";
 const FLOOR_NAME: &str = "floor";
@@ -36,6 +37,11 @@
     ObjectName::new(LAYOUT_KIND, era.to_string())
 }
 
+/// Returns the era whose layout `name` holds; `None` where it is no layout's name.
+pub(crate) fn layout_era(name: &ObjectName) -> Option<Era> {
+    name.name.parse().ok().filter(|_| name.kind == LAYOUT_KIND)
+}
+
 /// Names the object that holds the [`LedgerFloor`].
 pub(crate) fn floor_name() -> ObjectName {
     ObjectName::new(FLOOR_KIND, FLOOR_NAME)
@@ -78,6 +84,14 @@
         let slot = key.issued_unix_ms() % ERA_MS / self.slot_ms;
         object_name(era_of(key.issued_unix_ms()), slot, self.bucket_of(key))
     }
+
+    /// Names every ledger object that the era may have.
+    pub(crate) fn objects(&self, era: Era) -> impl Iterator<Item = ObjectName> {
+        let buckets = self.buckets;
+        let slots = ERA_MS.div_ceil(self.slot_ms);
+        (0..slots)
+            .flat_map(move |slot| (0..buckets).map(move |bucket| object_name(era, slot, bucket)))
+    }
 }
 
 /// How far the ledger is pruned; only ever raised, and raised before anything is deleted.
@@ -86,8 +100,6 @@
 pub(crate) struct LedgerFloor {
     /// The first era whose keys may still run.
     pub(crate) first_open: Era,
-    /// The first era whose objects may still exist.
-    pub(crate) first_kept: Era,
 }
 
 impl LedgerFloor {
--- a/crates/papayastack/src/submission/mod.rs
+++ b/crates/papayastack/src/submission/mod.rs
@@ -4,6 +4,8 @@
 mod driver;
 mod key;
 mod layout;
+mod prune;
+mod pruner;
 mod record;
 mod refusals;
 mod request;
@@ -14,5 +16,6 @@
 
 pub use driver::SubmissionDesk;
 pub use key::{SUBMISSION_KEY_MAX_BYTES, SubmissionKey, SubmissionKeyError};
+pub use pruner::LedgerPruner;
 pub use record::RECEIPT_MAX_BYTES;
 pub use sender::{SendOutcome, Submission, SubmissionDone, SubmissionSender};
--- a/crates/papayastack/src/submission/refusals.rs
+++ b/crates/papayastack/src/submission/refusals.rs
@@ -74,6 +74,12 @@
     not_run(RefusalReason::DeadlineExceeded, detail, Some(Duration::ZERO))
 }
 
+pub(crate) fn late_while_running() -> Refusal {
+    let detail =
+        "the deadline passed while the submission was running; ask again with the same key";
+    sent(RefusalReason::DeadlineExceeded, detail)
+}
+
 pub(crate) fn object_full() -> Refusal {
     let detail = "the ledger object of this time of issue is full; issue a new key";
     not_run(RefusalReason::Overloaded, detail, None)
@@ -88,7 +94,7 @@
 }
 
 pub(crate) fn in_progress() -> Refusal {
-    let detail = "another VM is running this submission; ask again with the same key";
+    let detail = "another request is running this submission; ask again with the same key";
     earlier(RefusalReason::InProgress, detail, Some(OUTCOME_RETRY))
 }
 
--- a/crates/papayastack/src/submission/writer/steps.rs
+++ b/crates/papayastack/src/submission/writer/steps.rs
@@ -230,18 +230,16 @@
     fn expire(&mut self, step: &mut Step) {
         let now = step.now;
         for attempt in self.attempts.values_mut() {
+            let late = attempt.waiters.extract_if(.., |waiter| waiter.deadline <= now);
+            let late: Vec<_> = late.collect();
             let refusal = match attempt.stage {
+                Stage::Sent => refusals::late_while_running(),
+                // The attempt goes on for the requests that joined it.
+                _ if !attempt.waiters.is_empty() => refusals::in_progress(),
                 Stage::Waiting | Stage::Claimed | Stage::Recorded => {
                     refusals::deadline_before_sending()
                 }
-                Stage::Sent => refusals::sent(
-                    RefusalReason::DeadlineExceeded,
-                    "the deadline passed while the submission was running; ask again with the \
-                     same key",
-                ),
             };
-            let late = attempt.waiters.extract_if(.., |waiter| waiter.deadline <= now);
-            let late: Vec<_> = late.collect();
             step.refuse(&late, refusal);
         }
         for outcome in self.outcomes.values_mut() {
