--- /dev/null
+++ b/crates/papayastack/src/link/message.rs
@@ -0,0 +1,132 @@
+//! The messages on a link.
+
+use papayastack_macros::message;
+
+use crate::configuration::ConfigurationMessage;
+use crate::ids::{AttemptId, QueryId, ServiceName, ShardId, SnapshotVersion, UpstreamId};
+use crate::outcome::Refusal;
+use crate::query::AttemptOutcome;
+use crate::settings::QueryClass;
+use crate::upstream::Selection;
+
+/// What the dialling VM sends.
+#[message]
+pub enum LinkRequest {
+    /// Searches shards at upstreams that the peer owns.
+    Search(SearchBatch),
+    /// Cancels attempts of a query.
+    Cancel {
+        /// The query.
+        query: QueryId,
+        /// The attempts.
+        attempts: Vec<AttemptId>,
+    },
+    /// Runs a submission whose bucket the peer owns.
+    Submit(SubmissionRelay),
+    /// Tells the peer of configuration; it calls for no reply.
+    Configuration(ConfigurationMessage),
+}
+
+/// What the accepting VM sends back.
+#[message]
+pub enum LinkReply {
+    /// The result of one attempt; each attempt gets exactly one.
+    Search(SearchResult),
+    /// The result of a relayed submission.
+    Submit {
+        /// The relay.
+        id: RelayId,
+        /// What became of it.
+        result: RelayResult,
+    },
+}
+
+/// Numbers a relayed submission within the VM that relays it.
+pub type RelayId = u64;
+
+/// A submission on its way to the VM that owns its bucket.
+#[message]
+pub struct SubmissionRelay {
+    /// The relay.
+    pub id: RelayId,
+    /// The service.
+    pub service: ServiceName,
+    /// The caller's key, not yet parsed.
+    pub key: Option<String>,
+    /// What is submitted.
+    pub body: serde_json::Value,
+    /// The time that is left, in milliseconds.
+    pub remaining_ms: u64,
+}
+
+/// What became of a relayed submission.
+#[message]
+pub enum RelayResult {
+    /// It ran.
+    Done {
+        /// The upstream's receipt.
+        receipt: String,
+        /// Whether another request with the same key ran it.
+        repeated: bool,
+    },
+    /// It was refused.
+    Refused(Refusal),
+}
+
+/// Attempts of one query for one owner.
+#[message]
+pub struct SearchBatch {
+    /// The query.
+    pub query: QueryId,
+    /// The service.
+    pub service: ServiceName,
+    /// The pinned snapshot.
+    pub snapshot: SnapshotVersion,
+    /// The class, which orders the owner's queues.
+    pub class: QueryClass,
+    /// What to look for.
+    pub selection: Selection,
+    /// The most hits for each shard.
+    pub hits_limit: u32,
+    /// The time that is left, in milliseconds.
+    pub remaining_ms: u64,
+    /// The W3C trace context of the sender's span.
+    pub traceparent: String,
+    /// The attempts.
+    pub items: Vec<SearchItem>,
+}
+
+/// One attempt of a batch.
+#[message]
+pub struct SearchItem {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// The shard.
+    pub shard: ShardId,
+    /// The upstream to ask.
+    pub upstream: UpstreamId,
+}
+
+/// The result of one attempt.
+#[message]
+pub struct SearchResult {
+    /// The query.
+    pub query: QueryId,
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// What became of it.
+    pub outcome: AttemptOutcome,
+    /// Sub-requests that wait for the upstream at its owner.
+    pub queue_len: u32,
+}
+
+impl LinkRequest {
+    /// Returns how many replies the request calls for.
+    pub(crate) fn replies_expected(&self) -> usize {
+        match self {
+            Self::Search(batch) => batch.items.len(),
+            Self::Submit(_) => 1,
+            Self::Cancel { .. } | Self::Configuration(_) => 0,
+        }
+    }
+}
--- a/crates/papayastack/src/query/fanout.rs
+++ b/crates/papayastack/src/query/fanout.rs
@@ -22,6 +22,8 @@
 const RETRY_PAUSE_MAX: Duration = Duration::from_millis(250);
 /// The hedge delay before latencies are known.
 const HEDGE_DELAY_INITIAL: Duration = Duration::from_millis(100);
+/// How many times the mean latency an attempt must take before it is hedged.
+const HEDGE_MEAN_FACTOR: u32 = 2;
 /// The shortest hedge delay.
 const HEDGE_DELAY_MIN: Duration = Duration::from_millis(1);
 
@@ -95,6 +97,8 @@
     pub hedges: u64,
     /// Retries among those sent.
     pub retries: u64,
+    /// Attempts that may have run without giving an answer.
+    pub unresolved: u64,
     /// Replies dropped because they were late, duplicated, crossed or malformed.
     pub dropped: u64,
 }
@@ -232,6 +236,7 @@
         let mut released = Vec::new();
         for (id, attempt) in self.attempts.iter_mut().enumerate().filter(|(_, a)| a.running) {
             attempt.running = false;
+            self.counts.unresolved += 1;
             let latency = context.now.saturating_duration_since(attempt.sent_at);
             let upstream = attempt.upstream;
             context.observations.finished(upstream, &outcome, latency, ejection, context.now);
@@ -241,10 +246,13 @@
     }
 
     /// Ends the query with the answer that its partials support; `None` without any shard.
-    pub fn into_answer(self) -> Option<Answer> {
+    ///
+    /// The partials move into the answer, so a second call gives `None`.
+    pub fn take_answer(&mut self) -> Option<Answer> {
         let mut partials = Vec::with_capacity(self.progress.len());
         let mut missing = BTreeMap::new();
-        for (progress, replicas) in self.progress.into_iter().zip(self.spec.shards.iter()) {
+        let progress = std::mem::take(&mut self.progress);
+        for (progress, replicas) in progress.into_iter().zip(self.spec.shards.iter()) {
             match progress.state {
                 ShardState::Answered(partial) => partials.push(partial),
                 ShardState::Open | ShardState::GivenUp => {
@@ -254,7 +262,8 @@
         }
         let answered = partials.iter().map(|partial| partial.shard).collect();
         let coverage = Coverage::new(self.spec.snapshot, answered, missing).ok()?;
-        let answer = Answer::merge(self.spec.service, coverage, &partials, self.spec.hits_limit);
+        let service = self.spec.service.clone();
+        let answer = Answer::merge(service, coverage, &partials, self.spec.hits_limit);
         Some(answer.expect("settle admits only partials of the pinned snapshot and shard"))
     }
 
@@ -311,6 +320,7 @@
             let quantile_permille = self.spec.class.hedge_quantile_permille;
             context.latencies[shard].record(latency, quantile_permille);
         }
+        self.counts.unresolved += u64::from(matches!(outcome, AttemptOutcome::Failed(_)));
         context.budgets.observe(outcome.missing_reason() == MissingReason::Overloaded);
         self.forget_unsent(&outcome, attempt);
         self.progress[shard].running -= 1;
@@ -485,9 +495,7 @@
         if !self.spec.class.hedge || !more_replicas || self.progress[shard].hedged {
             return;
         }
-        let known = context.latencies[shard].estimate();
-        let delay = known.unwrap_or(HEDGE_DELAY_INITIAL).max(HEDGE_DELAY_MIN);
-        self.set_timer(shard, context.now + delay);
+        self.set_timer(shard, context.now + hedge_delay(&context.latencies[shard]));
     }
 
     fn schedule_retry<R: Rng>(&mut self, shard: usize, context: &mut FanoutContext<'_, R>) {
@@ -553,6 +561,14 @@
     }
 }
 
+/// Returns when a shard counts as a straggler: past its quantile and well past its mean, so that
+/// a narrow distribution is not hedged for being on time.
+fn hedge_delay(latency: &QuantileTracker) -> Duration {
+    let quantile = latency.estimate().unwrap_or(HEDGE_DELAY_INITIAL);
+    let mean = latency.mean().unwrap_or_default();
+    quantile.max(mean * HEDGE_MEAN_FACTOR).max(HEDGE_DELAY_MIN)
+}
+
 impl Progress {
     fn new() -> Self {
         Self {
