Add the callers' library

CallerClient asks any VM for addresses, refreshes them at 60 to 90% of their lifetime, spreads over the nearest data centre by the less busy of two, and sends a request elsewhere where that is safe: queries and keyed submissions after silence, anything after a proven "not run". A VM that fails is paused with a growing, jittered pause and then tried by one request at a time. A silent VM is asked for a sign of life over another connection, so that a frozen one is found out long before the deadline; ruled out was hedging each slow query, which doubles the load when all VMs are slow. Retries of overloaded requests are bounded to one in ten.

An error says "not run" only where that holds for every attempt of the call.

--- a/crates/papayastack/src/caller/context.rs
+++ b/crates/papayastack/src/caller/context.rs
@@ -8,7 +8,7 @@
 /// The header that carries the request's id both ways.
 pub const REQUEST_ID_HEADER: &str = "x-request-id";
 
-const TRACEPARENT_HEADER: &str = "traceparent";
+pub(crate) const TRACEPARENT_HEADER: &str = "traceparent";
 const TRACESTATE_HEADER: &str = "tracestate";
 const REQUEST_ID_MAX_BYTES: usize = 128;
 
--- a/crates/papayastack/src/caller/mod.rs
+++ b/crates/papayastack/src/caller/mod.rs
@@ -1,6 +1,7 @@
-//! The callers' interface: its messages and its HTTP server.
+//! The callers' interface: its messages, its HTTP server and the callers' library.
 
 mod check;
+mod client;
 mod context;
 mod protocol;
 mod reply;
@@ -10,6 +11,7 @@
 #[cfg(test)]
 mod tests;
 
+pub use client::{CallContext, CallError, CallerClient, new_submission_key};
 pub use context::REQUEST_ID_HEADER;
 pub use protocol::{
     AddressesAnswer, QueryAnswer, QueryRequest, RefusalAnswer, SubmissionAnswer, SubmissionRequest,
--- a/crates/papayastack/src/caller/tests/fixtures.rs
+++ b/crates/papayastack/src/caller/tests/fixtures.rs
@@ -27,6 +27,7 @@
 pub(super) struct FakeService {
     pub(super) script: Mutex<Script>,
     pub(super) limits: Mutex<LimitSettings>,
+    pub(super) addresses: Mutex<Vec<(SocketAddr, &'static str)>>,
     pub(super) contexts: Mutex<Vec<RequestContext>>,
     pub(super) started: Notify,
     pub(super) dropped: Arc<Notify>,
@@ -38,6 +39,7 @@
         Arc::new(Self {
             script: Mutex::new(script),
             limits: Mutex::new(LimitSettings::default()),
+            addresses: Mutex::default(),
             contexts: Mutex::default(),
             started: Notify::new(),
             dropped: Arc::default(),
@@ -96,10 +98,18 @@
         &self,
         data_centre: Option<String>,
     ) -> Result<AddressesAnswer, RefusalAnswer> {
+        let known = self.addresses.lock().unwrap().clone();
+        if known.is_empty() {
+            return Ok(AddressesAnswer {
+                addresses: vec!["127.0.0.1:7001".parse().unwrap()],
+                data_centres: vec![data_centre.unwrap_or_else(|| "none".to_owned())],
+                lifetime_ms: 5_000,
+            });
+        }
         Ok(AddressesAnswer {
-            addresses: vec!["127.0.0.1:7001".parse().unwrap()],
-            data_centres: vec![data_centre.unwrap_or_else(|| "none".to_owned())],
-            lifetime_ms: 5_000,
+            addresses: known.iter().map(|(address, _)| *address).collect(),
+            data_centres: known.iter().map(|(_, name)| (*name).to_owned()).collect(),
+            lifetime_ms: 60_000,
         })
     }
 
--- a/crates/papayastack/src/observe/metrics.rs
+++ b/crates/papayastack/src/observe/metrics.rs
@@ -56,6 +56,7 @@
     sub_requests_sent: Family<ClassLabels, Counter>,
     hedges: Family<ClassLabels, Counter>,
     retries: Family<ClassLabels, Counter>,
+    attempts_unresolved: Family<ClassLabels, Counter>,
     replies_dropped: Family<ClassLabels, Counter>,
     attempts: Family<OutcomeLabels, Counter>,
     requests_in_flight: Gauge,
@@ -81,6 +82,7 @@
             sub_requests_sent: Family::default(),
             hedges: Family::default(),
             retries: Family::default(),
+            attempts_unresolved: Family::default(),
             replies_dropped: Family::default(),
             attempts: Family::default(),
             requests_in_flight: Gauge::default(),
@@ -129,6 +131,7 @@
         self.sub_requests_sent.get_or_create(&labels).inc_by(counts.sent);
         self.hedges.get_or_create(&labels).inc_by(counts.hedges);
         self.retries.get_or_create(&labels).inc_by(counts.retries);
+        self.attempts_unresolved.get_or_create(&labels).inc_by(counts.unresolved);
         self.replies_dropped.get_or_create(&labels).inc_by(counts.dropped);
     }
 
@@ -229,6 +232,9 @@
         self.register("retries", "Attempts sent because an earlier one failed", |metrics| {
             metrics.retries.clone()
         });
+        self.register("attempts_unresolved", "Attempts that may have run in vain", |metrics| {
+            metrics.attempts_unresolved.clone()
+        });
         self.register("replies_dropped", "Replies that came late, twice or crossed", |metrics| {
             metrics.replies_dropped.clone()
         });
--- a/crates/papayastack/src/observe/tests.rs
+++ b/crates/papayastack/src/observe/tests.rs
@@ -42,7 +42,7 @@
 #[test]
 fn metrics_name_their_units_and_labels() {
     let metrics = Metrics::new();
-    let counts = FanoutCounts { needed: 30, sent: 32, hedges: 1, retries: 1, dropped: 1 };
+    let counts = FanoutCounts { needed: 30, sent: 32, hedges: 1, ..FanoutCounts::default() };
 
     metrics.query_ended(
         QueryClass::Sweep,
