Add papayaq, the callers' command line

query, submit and addresses on top of the callers' library. What the coverage allows comes first in words, the exit code tells complete, none found, partial, inconclusive, not run, unknown outcome and conflict apart.

--- /dev/null
+++ b/crates/papayastack-caller/src/exit.rs
@@ -0,0 +1,63 @@
+//! The exit codes of `papayaq`.
+
+use std::process::ExitCode;
+
+use papayastack::{Answer, CallError, Certainty, RefusalReason};
+use papayastack_macros::value;
+
+/// How a run ended; the number is the exit code.
+#[value]
+#[derive(Copy)]
+pub(crate) enum Exit {
+    /// Documents were found and every shard answered; a submission ran; addresses came.
+    Complete = 0,
+    /// Every shard answered and none holds a match.
+    NoneFound = 1,
+    /// The command line is wrong.
+    Usage = 2,
+    /// Documents were found, but shards are missing.
+    Partial = 3,
+    /// Nothing was found, but shards are missing.
+    Inconclusive = 4,
+    /// Refused; nothing ran.
+    NotRun = 5,
+    /// It may have run.
+    OutcomeUnknown = 6,
+    /// The submission's key was used with another body.
+    Conflict = 7,
+}
+
+impl Exit {
+    /// Returns the exit of an answer.
+    pub(crate) fn of_answer(answer: &Answer) -> Self {
+        let verdict = answer.verdict();
+        if verdict.is_none_found() {
+            Self::NoneFound
+        } else if verdict.is_inconclusive() {
+            Self::Inconclusive
+        } else if answer.coverage().complete().is_some() {
+            Self::Complete
+        } else {
+            Self::Partial
+        }
+    }
+
+    /// Returns the exit of a call without an answer.
+    pub(crate) fn of_error(error: &CallError) -> Self {
+        if let CallError::Refused(answer) = error
+            && answer.refusal.reason() == RefusalReason::Conflict
+        {
+            return Self::Conflict;
+        }
+        match error.certainty() {
+            Certainty::NotRun => Self::NotRun,
+            Certainty::OutcomeUnknown => Self::OutcomeUnknown,
+        }
+    }
+}
+
+impl From<Exit> for ExitCode {
+    fn from(exit: Exit) -> Self {
+        ExitCode::from(exit as u8)
+    }
+}
