Choose callers' addresses and leave by the addresses slice

Cause: the VM named all live members in one order and waited a fixed time when it left. Change: addresses are chosen by data centre, region and chance; the leaving machine decides when a VM may stop accepting; the status of a VM is the typed one that papayactl reads. Conclusion: drains and address answers now follow one bound for the spread of news.

--- a/crates/papayastack/src/vm/leave.rs
+++ b/crates/papayastack/src/vm/leave.rs
@@ -1,30 +1,32 @@
 //! Stopping one VM without cutting a request.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use super::shared::lock;
 use super::start::Vm;
+use crate::addresses::LeavingPhase;
 
-/// The time that all VMs need to hear that this one leaves, so that none hands it out any more.
-const SPREAD_MAX: Duration = Duration::from_secs(1);
 /// The pause between two looks at the work that is left.
-const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+const PROGRESS_INTERVAL: Duration = Duration::from_millis(20);
 
 impl Vm {
     /// Returns once an operator has asked this VM to leave.
     pub async fn drain_asked(&self) {
-        let mut leaving = self.shared.leaving.subscribe();
+        let mut asked = self.shared.leave_asked.subscribe();
         // The sender lives as long as the VM.
-        let _ = leaving.wait_for(|leaving| *leaving).await;
+        let _ = asked.wait_for(|asked| *asked).await;
     }
 
     /// Leaves: is no longer handed out, accepts callers until the last address answer that named
     /// it has lapsed, finishes what is in flight and stops.
     pub async fn leave(self) {
-        self.shared.leaving.send_replace(true);
+        log::info!(target: "papaya::vm", "vm: Leaving.");
+        self.shared.leave_asked.send_replace(true);
         self.membership.leave();
-        log::info!(target: "papaya::vm", "Leaving.");
-        let lifetime = Duration::from_millis(self.shared.address_settings().lifetime_ms);
-        tokio::time::sleep(lifetime + SPREAD_MAX).await;
+        lock(&self.shared.leaving).begin(Instant::now());
+        while self.advance().accepts() {
+            tokio::time::sleep(PROGRESS_INTERVAL).await;
+        }
         self.shutdown().await;
     }
 
@@ -33,16 +35,18 @@
         self.membership.leave();
         self.callers.shutdown().await;
         self.shared.submissions.drained().await;
-        while self.shared.counts().sub_requests_running + self.shared.counts().sub_requests_waiting
-            > 0
-        {
-            tokio::time::sleep(IDLE_CHECK_INTERVAL).await;
+        while self.shared.counts().in_flight() > 0 {
+            tokio::time::sleep(PROGRESS_INTERVAL).await;
         }
         self.membership.end().await;
         self.shared.hub.close();
         for task in self.tasks {
             task.abort();
         }
-        log::info!(target: "papaya::vm", "Left.");
+        log::info!(target: "papaya::vm", "vm: Left.");
+    }
+
+    fn advance(&self) -> LeavingPhase {
+        lock(&self.shared.leaving).advance(self.shared.counts().in_flight(), Instant::now())
     }
 }
--- a/crates/papayastack/src/vm/service.rs
+++ b/crates/papayastack/src/vm/service.rs
@@ -1,23 +1,27 @@
 //! What a VM answers to callers and operators.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use async_trait::async_trait;
-use serde_json::json;
+use tokio::sync::watch;
 
 use super::entry::answer_query;
 use super::shared::Shared;
 use super::submit::answer_submission;
+use crate::addresses::{AddressQuery, choose_addresses};
 use crate::caller::{
     AddressesAnswer, CallerService, QueryAnswer, QueryRequest, RefusalAnswer, RequestContext,
     SubmissionAnswer, SubmissionRequest,
 };
+use crate::configuration::{ConfigurationStatus, VmStatus};
 use crate::ids::DataCentreName;
+use crate::membership::MemberState;
 use crate::observe::{DispatchLevels, SubmissionOutcome};
 use crate::operator::{OperatorService, Readiness};
 use crate::outcome::{Custody, RefusalReason};
-use crate::settings::{AddressSettings, LimitSettings};
+use crate::settings::LimitSettings;
 
 /// When to come back to a VM that knows no addresses yet.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -25,12 +29,16 @@
 /// Answers callers and operators on behalf of the VM.
 pub(crate) struct VmService {
     shared: Arc<Shared>,
+    configuration: watch::Receiver<ConfigurationStatus>,
 }
 
 impl VmService {
     /// Answers from what the VM's parts share.
-    pub(crate) fn new(shared: Arc<Shared>) -> Self {
-        Self { shared }
+    pub(crate) fn new(
+        shared: Arc<Shared>,
+        configuration: watch::Receiver<ConfigurationStatus>,
+    ) -> Self {
+        Self { shared, configuration }
     }
 }
 
@@ -70,21 +78,23 @@
         data_centre: Option<DataCentreName>,
     ) -> Result<AddressesAnswer, RefusalAnswer> {
         let view = Arc::clone(&self.shared.members.borrow());
-        let (mut addresses, mut data_centres) = (Vec::new(), Vec::new());
-        let near = view.live().filter(|member| Some(&member.data_centre) == data_centre.as_ref());
-        let far = view.live().filter(|member| Some(&member.data_centre) != data_centre.as_ref());
-        for member in near.chain(far) {
-            addresses.push(member.caller_address);
-            data_centres.push(member.data_centre.clone());
-        }
-        if addresses.is_empty() {
+        let in_force = self.shared.in_force.borrow().clone();
+        let data_centres =
+            in_force.map(|current| current.settings.data_centres.clone()).unwrap_or_default();
+        let query = AddressQuery {
+            data_centre: data_centre.as_deref(),
+            data_centres: &data_centres,
+            loads: &BTreeMap::new(),
+            lifetime_max: self.shared.address_lifetime(),
+        };
+        let answer = choose_addresses(&view, &query, &mut self.shared.decisions().random);
+        if answer.addresses.is_empty() {
             let detail = "no VM takes new callers at the moment";
-            let refusal =
-                Custody::new().refuse(RefusalReason::NotReady, detail, Some(NOT_READY_RETRY_AFTER));
+            let retry_after = Some(NOT_READY_RETRY_AFTER);
+            let refusal = Custody::new().refuse(RefusalReason::NotReady, detail, retry_after);
             return Err(RefusalAnswer { request_id: String::new(), refusal });
         }
-        let lifetime_ms = self.shared.address_settings().lifetime_ms;
-        Ok(AddressesAnswer { addresses, data_centres, lifetime_ms })
+        Ok(answer)
     }
 
     fn limits(&self) -> LimitSettings {
@@ -109,19 +119,12 @@
     }
 
     async fn status(&self) -> serde_json::Value {
-        let shared = &self.shared;
-        let view = Arc::clone(&shared.members.borrow());
-        json!({
-            "identity": shared.identity,
-            "state": view.members.get(&shared.identity.address).map(|own| own.state),
-            "configuration_version": shared.configuration_version(),
-            "members": view.members.values().collect::<Vec<_>>(),
-            "counts": shared.counts(),
-        })
+        let status = self.shared.status(&self.configuration.borrow());
+        serde_json::to_value(status).unwrap_or_default()
     }
 
     fn readiness(&self) -> Readiness {
-        if *self.shared.leaving.borrow() {
+        if *self.shared.leave_asked.borrow() {
             return Readiness::NotReady { detail: "the VM is leaving".to_owned() };
         }
         match self.shared.in_force.borrow().as_ref() {
@@ -131,7 +134,7 @@
     }
 
     fn drain(&self) {
-        self.shared.leaving.send_replace(true);
+        self.shared.leave_asked.send_replace(true);
     }
 }
 
@@ -141,9 +144,31 @@
         self.in_force.borrow().as_ref().map_or(0, |current| current.configuration_version)
     }
 
-    /// Returns what callers are told about addresses.
-    pub(crate) fn address_settings(&self) -> AddressSettings {
+    /// Returns how long callers may keep an address answer.
+    pub(crate) fn address_lifetime(&self) -> Duration {
         let in_force = self.in_force.borrow().clone();
-        in_force.map(|current| current.settings.addresses.clone()).unwrap_or_default()
+        let settings = in_force.map(|current| current.settings.addresses.clone());
+        Duration::from_millis(settings.unwrap_or_default().lifetime_ms)
+    }
+
+    fn status(&self, configuration: &ConfigurationStatus) -> VmStatus {
+        let view = Arc::clone(&self.members.borrow());
+        let own = view.members.get(&self.address);
+        let in_force = self.in_force.borrow().clone();
+        let catalogues = in_force.map(|current| current.catalogues.clone()).unwrap_or_default();
+        let newest = catalogues.iter().filter_map(|(service, catalogue)| {
+            catalogue.newest().map(|(snapshot, _)| (service.clone(), snapshot))
+        });
+        VmStatus {
+            identity: self.identity.clone(),
+            site: self.local.site.clone(),
+            data_centre: self.local.data_centre.clone(),
+            caller_address: own.map_or(self.local.caller_address, |own| own.caller_address),
+            state: own.map_or(MemberState::Live, |own| own.state),
+            configuration_version: self.configuration_version(),
+            snapshots: newest.collect(),
+            refused: configuration.refused.clone(),
+            members: view.members.values().cloned().collect(),
+        }
     }
 }
--- a/crates/papayastack/src/vm/shared.rs
+++ b/crates/papayastack/src/vm/shared.rs
@@ -12,6 +12,7 @@
 use super::desk::UpstreamDesk;
 use super::pending::PendingQueries;
 use super::submit::Relays;
+use crate::addresses::Leaving;
 use crate::admission::Admission;
 use crate::configuration::{ConfigurationMessage, InForce};
 use crate::ids::{ServiceName, VmAddress};
@@ -20,14 +21,16 @@
 use crate::observe::{Metrics, Tracer};
 use crate::query::{Budgets, FanoutContext, Observations, QuantileTracker};
 use crate::routing::Directory;
-use crate::settings::QueryClass;
+use crate::settings::{LocalSettings, QueryClass};
 use crate::submission::SubmissionDesk;
 
 /// The parts of one VM that requests pass through.
 pub(crate) struct Shared {
     pub(crate) address: VmAddress,
     pub(crate) identity: VmIdentity,
-    pub(crate) leaving: watch::Sender<bool>,
+    pub(crate) local: LocalSettings,
+    pub(crate) leave_asked: watch::Sender<bool>,
+    pub(crate) leaving: Mutex<Leaving>,
     pub(crate) in_force: watch::Receiver<Option<Arc<InForce>>>,
     pub(crate) members: watch::Receiver<Arc<MemberView>>,
     pub(crate) directory: watch::Receiver<Arc<Directory>>,
@@ -80,6 +83,13 @@
     pub links_accepted: usize,
 }
 
+impl VmCounts {
+    /// Returns how many requests, of callers and of peers, are not finished.
+    pub fn in_flight(&self) -> usize {
+        self.queries + self.sub_requests_waiting + self.sub_requests_running
+    }
+}
+
 /// The state that the decisions of all queries share.
 pub(crate) struct Decisions {
     pub(crate) admission: Admission,
--- a/crates/papayastack/src/vm/start.rs
+++ b/crates/papayastack/src/vm/start.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use error_stack::{Report, ResultExt};
 use papayastack_macros::value;
@@ -16,9 +16,10 @@
 use super::metered_platform::MeteredPlatform;
 use super::pending::PendingQueries;
 use super::service::VmService;
-use super::shared::{Decisions, Shared, VmCounts};
+use super::shared::{Decisions, Shared, VmCounts, lock};
 use super::submit::Relays;
 use super::upstream_sender::UpstreamSender;
+use crate::addresses::Leaving;
 use crate::caller::CallerServer;
 use crate::configuration::{ConfigurationDriver, ConfigurationHandle, InForce};
 use crate::ids::{Incarnation, VmAddress};
@@ -28,7 +29,7 @@
 use crate::operator::OperatorServer;
 use crate::platform::Platform;
 use crate::seal::Keyring;
-use crate::settings::{LocalSettings, MembershipSettings, SubmissionSettings};
+use crate::settings::{AddressSettings, LocalSettings, MembershipSettings, SubmissionSettings};
 use crate::submission::SubmissionDesk;
 use crate::upstream::UpstreamClient;
 
@@ -97,7 +98,8 @@
         let (configuration_inbound, inbound_messages) = mpsc::channel(CONFIGURATION_QUEUE_MAX);
         let configuration = ConfigurationDriver::spawn(
             Arc::clone(&platform),
-            &local,
+            identity.address,
+            local.site.clone(),
             members.clone(),
             outbound,
             inbound_messages,
@@ -117,13 +119,16 @@
             Arc::clone(&tracer),
             identity.address,
         );
+        let lifetime = Duration::from_millis(AddressSettings::default().lifetime_ms);
         let shared = Arc::new(Shared {
             desk,
             submissions: SubmissionDesk::spawn(platform, SubmissionSettings::default(), sender),
             decisions: Mutex::new(Decisions::new(identity.incarnation)),
             relays: Relays::default(),
             tracer,
-            leaving: watch::Sender::new(false),
+            leave_asked: watch::Sender::new(false),
+            leaving: Mutex::new(Leaving::new(lifetime, Instant::now())),
+            local: local.clone(),
             address: identity.address,
             identity,
             in_force,
@@ -134,7 +139,7 @@
             configuration_inbound,
             metrics,
         });
-        let service = Arc::new(VmService::new(Arc::clone(&shared)));
+        let service = Arc::new(VmService::new(Arc::clone(&shared), configuration.status.clone()));
         let (callers, operators) = bind_servers(&local, &service).await?;
         membership.set_caller_address(callers.address());
         let tasks = vec![
@@ -187,6 +192,7 @@
                 if let Some(current) = current {
                     membership.configure(&current.settings);
                     membership.set_configuration_version(current.configuration_version);
+                    lock(&shared.leaving).set_lifetime(shared.address_lifetime(), Instant::now());
                     shared.submissions.configure(current.settings.submissions.clone());
                 }
                 if in_force.changed().await.is_err() {
