Describe the two new submission settings

Change: a row for each, with unit and range. Measured: cargo test -p papayastack settings passes. Conclusion: the table and the schema agree again.

--- a/crates/papayastack/src/settings/reference.rs
+++ b/crates/papayastack/src/settings/reference.rs
@@ -290,6 +290,18 @@
         (0, 10_000),
         "The longest wait for other submissions to share a platform write.",
     ),
+    Setting::number(
+        "/submissions/write_interval_ms",
+        "milliseconds",
+        (0, 10_000),
+        "The shortest time between the starts of two writes of one ledger object.",
+    ),
+    Setting::number(
+        "/submissions/outcome_wait_ms",
+        "milliseconds",
+        (0, 10_000),
+        "The longest wait of an outcome for intents to share its platform write.",
+    ),
     Setting::number(
         "/submissions/body_max_bytes",
         "bytes",
