Send open-loop load and compare policies in one run

Cause: the measures of the issues need load that does not wait for answers, and answers compared with the naive search. Change: papaya-load reads an experiment file (cases with place, load by class, timed faults, policies), starts platform, upstreams and VMs in this process, each VM on threads of its own so that it can be killed and its processor time told, or uses VMs that run already. Latency counts from the planned arrival. It reports JSON, a Markdown table and an SVG plot, and exits with 3 where an answer differs from the naive search. Time, count and targets are bounded.

--- /dev/null
+++ b/crates/papayastack-load/src/client.rs
@@ -0,0 +1,106 @@
+//! The load's caller: spreads queries over the VMs and moves on where one is lost.
+
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::header::CONTENT_TYPE;
+use hyper::{Method, Request, StatusCode};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use papayastack::{QUERY_PATH, QueryAnswer, QueryRequest, RefusalAnswer};
+
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+const GRACE: Duration = Duration::from_secs(2);
+const AVOIDED: Duration = Duration::from_secs(2);
+const BODY_MAX_BYTES: usize = 16 * 1024 * 1024;
+
+/// What a query ended with.
+#[derive(Debug)]
+pub(crate) enum Reply {
+    Answered(Box<QueryAnswer>),
+    Refused(RefusalAnswer),
+    Failed(String),
+}
+
+/// A caller that knows the VMs.
+pub(crate) struct Caller {
+    addresses: Vec<SocketAddr>,
+    avoided_until: Mutex<Vec<Option<Instant>>>,
+    next: AtomicUsize,
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl Caller {
+    /// Opens a caller of the VMs at `addresses`.
+    pub(crate) fn open(addresses: Vec<SocketAddr>) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        let client =
+            Client::builder(TokioExecutor::new()).pool_timer(TokioTimer::new()).build(connector);
+        let avoided_until = Mutex::new(vec![None; addresses.len()]);
+        Self { addresses, avoided_until, next: AtomicUsize::new(0), client }
+    }
+
+    /// Sends a query, which is idempotent, to one VM after the other until one replies.
+    pub(crate) async fn query(&self, query: &QueryRequest) -> Reply {
+        let Ok(body) = serde_json::to_vec(query) else {
+            return Reply::Failed("the query cannot be encoded".to_owned());
+        };
+        let body = Bytes::from(body);
+        let limit = Duration::from_millis(query.deadline_ms.unwrap_or(0)) + GRACE;
+        let first = self.next.fetch_add(1, Ordering::Relaxed);
+        let mut failure = String::new();
+        for index in self.order(first) {
+            let address = self.addresses[index];
+            match tokio::time::timeout(limit, self.post(address, body.clone())).await {
+                Ok(Ok(reply)) => return reply,
+                Ok(Err(detail)) => failure = detail,
+                Err(_elapsed) => failure = format!("{address} gave no reply"),
+            }
+            self.avoid(index);
+        }
+        Reply::Failed(failure)
+    }
+
+    async fn post(&self, address: SocketAddr, body: Bytes) -> Result<Reply, String> {
+        let request = Request::builder()
+            .method(Method::POST)
+            .uri(format!("http://{address}{QUERY_PATH}"))
+            .header(CONTENT_TYPE, "application/json")
+            .body(Full::new(body))
+            .map_err(|error| error.to_string())?;
+        let response = self.client.request(request).await.map_err(|error| error.to_string())?;
+        let status = response.status();
+        let body = Limited::new(response.into_body(), BODY_MAX_BYTES)
+            .collect()
+            .await
+            .map_err(|error| error.to_string())?
+            .to_bytes();
+        if status == StatusCode::OK {
+            let answer = serde_json::from_slice(&body).map_err(|error| error.to_string())?;
+            return Ok(Reply::Answered(Box::new(answer)));
+        }
+        serde_json::from_slice(&body).map(Reply::Refused).map_err(|error| error.to_string())
+    }
+
+    /// Returns the VMs in turn, those that failed of late last.
+    fn order(&self, first: usize) -> Vec<usize> {
+        let count = self.addresses.len();
+        let now = Instant::now();
+        let avoided = self.avoided_until.lock().expect("no holder of the lock panics");
+        let mut order: Vec<usize> = (0..count).map(|offset| (first + offset) % count).collect();
+        order.sort_by_key(|index| avoided[*index].is_some_and(|until| until > now));
+        order
+    }
+
+    fn avoid(&self, index: usize) {
+        let mut avoided = self.avoided_until.lock().expect("no holder of the lock panics");
+        avoided[index] = Some(Instant::now() + AVOIDED);
+    }
+}
--- /dev/null
+++ b/crates/papayastack-load/src/experiment.rs
@@ -0,0 +1,349 @@
+//! The experiment file.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use papayastack::{QueryClass, RoutingPolicy, ServiceName, UpstreamId};
+use papayastack_macros::{closed_set, message, value};
+use papayastack_standin::Place;
+use serde_json::Value;
+
+const DURATION_MAX_S: u64 = 600;
+const RATE_MAX_PER_S: u32 = 20_000;
+const REQUESTS_MAX: u64 = 2_000_000;
+const CASES_MAX: usize = 16;
+const VMS_MAX: usize = 32;
+const DEADLINE_DEFAULT_MS: u64 = 1_000;
+const HITS_LIMIT_DEFAULT: u32 = 100;
+const IN_FLIGHT_MAX_DEFAULT: usize = 10_000;
+
+/// A seeded experiment: cases that run one after the other, each under every policy.
+#[message]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Experiment {
+    /// Names the experiment in the report.
+    pub(crate) name: String,
+    /// The seed of indexes, arrivals, selections and chances.
+    #[serde(default)]
+    pub(crate) seed: u64,
+    /// The measured time of each run, in seconds.
+    pub(crate) duration_s: u64,
+    /// The time under load before the measurement, in seconds.
+    #[serde(default)]
+    pub(crate) warmup_s: u64,
+    /// The policies to compare.
+    #[serde(default = "all_policies")]
+    pub(crate) policies: Vec<RoutingPolicy>,
+    /// The share of answers that are compared with the naive search, in thousandths.
+    #[serde(default = "checked_permille_default")]
+    pub(crate) checked_permille: u32,
+    /// Requests that may be in flight at once; more are dropped and counted.
+    #[serde(default = "in_flight_max_default")]
+    pub(crate) in_flight_max: usize,
+    /// The cases.
+    pub(crate) cases: Vec<Case>,
+}
+
+/// One place under one load.
+#[message]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Case {
+    /// Names the case in the report.
+    pub(crate) name: String,
+    /// The place: `plazo_claro` or `armor`.
+    pub(crate) place: Place,
+    /// The services to start; all where empty.
+    #[serde(default)]
+    pub(crate) services: BTreeSet<ServiceName>,
+    /// The VMs that take the load.
+    #[serde(default)]
+    pub(crate) vms: Vms,
+    /// A merge patch on the settings of the place.
+    #[serde(default)]
+    pub(crate) settings: Value,
+    /// The load.
+    pub(crate) load: Vec<Load>,
+    /// The faults.
+    #[serde(default)]
+    pub(crate) faults: Vec<TimedFault>,
+}
+
+/// The VMs that take the load.
+#[message]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub(crate) enum Vms {
+    /// VMs started by this process, each on threads of its own.
+    InProcess {
+        /// How many.
+        count: usize,
+        /// Threads of each.
+        threads: usize,
+    },
+    /// VMs that run already, by their addresses for callers; their policy stays as it is.
+    Running {
+        /// The loopback addresses.
+        addresses: Vec<SocketAddr>,
+    },
+}
+
+impl Default for Vms {
+    fn default() -> Self {
+        Self::InProcess { count: 4, threads: 2 }
+    }
+}
+
+/// A stream of queries.
+#[message]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Load {
+    /// The service.
+    pub(crate) service: ServiceName,
+    /// The class.
+    pub(crate) class: QueryClass,
+    /// Queries per second on average; arrivals are random and do not wait for answers.
+    pub(crate) rate_per_s: u32,
+    /// The deadline in milliseconds.
+    #[serde(default = "deadline_default_ms")]
+    pub(crate) deadline_ms: u64,
+    /// What the queries look for.
+    #[serde(default)]
+    pub(crate) looks_for: LooksFor,
+    /// The most hits to return.
+    #[serde(default = "hits_limit_default")]
+    pub(crate) hits_limit: u32,
+}
+
+/// What a stream of queries looks for.
+#[closed_set]
+#[derive(Default)]
+pub(crate) enum LooksFor {
+    /// One or two terms of the service's vocabulary.
+    #[default]
+    Terms,
+    /// The key of one document.
+    Key,
+}
+
+/// A fault and its time.
+#[message]
+#[serde(deny_unknown_fields)]
+pub(crate) struct TimedFault {
+    /// The time after the start of the measurement, in seconds; negative times fall into the
+    /// warm-up.
+    pub(crate) at_s: i64,
+    /// The fault.
+    pub(crate) fault: Fault,
+}
+
+/// A fault, or its end.
+#[message]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub(crate) enum Fault {
+    /// Changes the behaviour of upstreams.
+    Upstreams {
+        /// The service.
+        service: ServiceName,
+        /// Only the upstreams of this replica, counted from 0.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        replica: Option<u32>,
+        /// Only these upstreams.
+        #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+        ids: BTreeSet<UpstreamId>,
+        /// A merge patch of the stand-in's behaviour.
+        behaviour: Value,
+    },
+    /// Changes the behaviour of the platform by a merge patch.
+    Platform(Value),
+    /// Ends a VM at once, with all its connections.
+    KillVm(usize),
+    /// Ends a VM gracefully.
+    StopVm(usize),
+    /// Publishes a new snapshot with another number of shards.
+    Repartition {
+        /// The service.
+        service: ServiceName,
+        /// The number of shards.
+        shards: u32,
+    },
+    /// Retires a snapshot at all upstreams.
+    Retire {
+        /// The service.
+        service: ServiceName,
+        /// The snapshot.
+        snapshot: u64,
+    },
+}
+
+/// Says what is wrong with an experiment.
+#[value]
+pub(crate) struct ExperimentError {
+    /// The JSON path of the fault.
+    path: String,
+    detail: String,
+}
+
+impl std::fmt::Display for ExperimentError {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "`{}`: {}", self.path, self.detail)
+    }
+}
+
+impl std::error::Error for ExperimentError {}
+
+impl Experiment {
+    /// Reads and checks an experiment.
+    ///
+    /// # Errors
+    /// Malformed JSON, an unknown field, or a value that breaks a bound.
+    pub(crate) fn parse(text: &str) -> Result<Self, ExperimentError> {
+        let mut reader = serde_json::Deserializer::from_str(text);
+        let experiment: Self = serde_path_to_error::deserialize(&mut reader)
+            .map_err(|error| fault(error.path().to_string(), error.inner().to_string()))?;
+        experiment.check()?;
+        Ok(experiment)
+    }
+
+    /// Returns the time of each run, warm-up included.
+    pub(crate) fn run_time(&self) -> Duration {
+        Duration::from_secs(self.warmup_s + self.duration_s)
+    }
+
+    fn check(&self) -> Result<(), ExperimentError> {
+        check(self.duration_s > 0, "duration_s", "must be at least 1")?;
+        let run_s = self.duration_s.saturating_add(self.warmup_s);
+        check(run_s <= DURATION_MAX_S, "duration_s", "with `warmup_s`, at most 600 s")?;
+        check(!self.policies.is_empty(), "policies", "name at least one policy")?;
+        check(self.checked_permille <= 1_000, "checked_permille", "at most 1000")?;
+        check(!self.cases.is_empty(), "cases", "give at least one case")?;
+        check(self.cases.len() <= CASES_MAX, "cases", "at most 16 cases")?;
+        for (index, case) in self.cases.iter().enumerate() {
+            case.check(&format!("cases[{index}]"), run_s)?;
+        }
+        Ok(())
+    }
+}
+
+impl Case {
+    fn check(&self, path: &str, run_s: u64) -> Result<(), ExperimentError> {
+        for service in &self.services {
+            self.check_service(&format!("{path}.services"), service, &self.all_services())?;
+        }
+        let services = self.running_services();
+        self.vms.check(&format!("{path}.vms"))?;
+        check(!self.load.is_empty(), &format!("{path}.load"), "give at least one load")?;
+        let mut requests = 0;
+        for (index, load) in self.load.iter().enumerate() {
+            let path = format!("{path}.load[{index}]");
+            self.check_service(&format!("{path}.service"), &load.service, &services)?;
+            load.check(&path)?;
+            requests += u64::from(load.rate_per_s) * run_s;
+        }
+        check(requests <= REQUESTS_MAX, &format!("{path}.load"), "at most 2000000 requests a run")?;
+        for (index, timed) in self.faults.iter().enumerate() {
+            self.check_fault(&format!("{path}.faults[{index}].fault"), &timed.fault, &services)?;
+        }
+        Ok(())
+    }
+
+    fn check_fault(
+        &self,
+        path: &str,
+        fault: &Fault,
+        services: &BTreeSet<String>,
+    ) -> Result<(), ExperimentError> {
+        if let Vms::Running { .. } = self.vms {
+            let detail = "with `running` VMs, switch faults through the stand-in's control";
+            return check(false, path, detail);
+        }
+        match fault {
+            Fault::Upstreams { service, .. }
+            | Fault::Repartition { service, .. }
+            | Fault::Retire { service, .. } => self.check_service(path, service, services),
+            Fault::KillVm(index) | Fault::StopVm(index) => {
+                check(*index < self.vms.count(), path, "there are fewer VMs; they count from 0")
+            }
+            Fault::Platform(_) => Ok(()),
+        }
+    }
+
+    fn check_service(
+        &self,
+        path: &str,
+        service: &str,
+        services: &BTreeSet<String>,
+    ) -> Result<(), ExperimentError> {
+        let known: Vec<&str> = services.iter().map(String::as_str).collect();
+        let detail = format!("no service `{service}` here; there are {}", known.join(", "));
+        check(services.contains(service), path, &detail)
+    }
+
+    fn running_services(&self) -> BTreeSet<String> {
+        let mut services = self.all_services();
+        services.retain(|name| self.services.is_empty() || self.services.contains(name));
+        services
+    }
+
+    fn all_services(&self) -> BTreeSet<String> {
+        self.place.services().into_iter().map(|shape| shape.name.to_owned()).collect()
+    }
+}
+
+impl Vms {
+    /// Returns the number of VMs.
+    pub(crate) fn count(&self) -> usize {
+        match self {
+            Self::InProcess { count, .. } => *count,
+            Self::Running { addresses } => addresses.len(),
+        }
+    }
+
+    fn check(&self, path: &str) -> Result<(), ExperimentError> {
+        check((1..=VMS_MAX).contains(&self.count()), path, "between 1 and 32 VMs")?;
+        match self {
+            Self::InProcess { threads, .. } => {
+                check((1..=16).contains(threads), path, "between 1 and 16 threads")
+            }
+            Self::Running { addresses } => {
+                let loopback = addresses.iter().all(|address| address.ip().is_loopback());
+                check(loopback, path, "load goes to loopback addresses only")
+            }
+        }
+    }
+}
+
+impl Load {
+    fn check(&self, path: &str) -> Result<(), ExperimentError> {
+        let rates = 1..=RATE_MAX_PER_S;
+        check(rates.contains(&self.rate_per_s), &format!("{path}.rate_per_s"), "1 to 20000")?;
+        check(self.deadline_ms > 0, &format!("{path}.deadline_ms"), "must be at least 1")
+    }
+}
+
+fn check(holds: bool, path: &str, detail: &str) -> Result<(), ExperimentError> {
+    if holds { Ok(()) } else { Err(fault(path.to_owned(), detail.to_owned())) }
+}
+
+fn fault(path: String, detail: String) -> ExperimentError {
+    ExperimentError { path, detail }
+}
+
+fn all_policies() -> Vec<RoutingPolicy> {
+    vec![RoutingPolicy::Owner, RoutingPolicy::Direct, RoutingPolicy::Naive]
+}
+
+fn checked_permille_default() -> u32 {
+    100
+}
+
+fn in_flight_max_default() -> usize {
+    IN_FLIGHT_MAX_DEFAULT
+}
+
+fn deadline_default_ms() -> u64 {
+    DEADLINE_DEFAULT_MS
+}
+
+fn hits_limit_default() -> u32 {
+    HITS_LIMIT_DEFAULT
+}
--- /dev/null
+++ b/crates/papayastack-load/src/tests.rs
@@ -0,0 +1,214 @@
+//! Tests of the load generator.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::ffi::OsString;
+use std::time::Duration;
+
+use papayastack::{Answer, Coverage, MissingReason, QueryClass, QueryRequest, RoutingPolicy};
+use papayastack_standin::{Place, ServiceShape, naive_search};
+use pico_args::Arguments;
+
+use super::arrivals::{Arrival, Arrivals};
+use super::check::{KnownSnapshots, Wrong, check_answer};
+use super::experiment::{Experiment, Load, LooksFor};
+use super::options::{Options, Request};
+use super::plot::latency_svg;
+use super::report::Report;
+use super::run::run_case;
+use super::tally::Tally;
+
+const SERVICE: &str = "batch-ledger";
+
+fn shape() -> ServiceShape {
+    Place::Armor.services().into_iter().find(|shape| shape.name == SERVICE).unwrap()
+}
+
+fn stream(looks_for: LooksFor) -> Load {
+    Load {
+        service: SERVICE.to_owned(),
+        class: QueryClass::Sweep,
+        rate_per_s: 200,
+        deadline_ms: 1_000,
+        looks_for,
+        hits_limit: 7,
+    }
+}
+
+fn plan(seed: u64, looks_for: LooksFor) -> Vec<Arrival> {
+    Arrivals::new(&stream(looks_for), &shape(), seed, 0, 100).take(2_000).collect()
+}
+
+fn experiment(change: &str) -> Result<Experiment, String> {
+    let mut value = serde_json::json!({
+        "name": "test", "seed": 3, "duration_s": 1, "policies": ["owner"],
+        "cases": [{
+            "name": "ledger", "place": "armor", "services": [SERVICE],
+            "load": [{ "service": SERVICE, "class": "sweep", "rate_per_s": 20 }]
+        }]
+    });
+    json_patch::merge(&mut value, &serde_json::from_str(change).unwrap());
+    Experiment::parse(&value.to_string()).map_err(|error| error.to_string())
+}
+
+fn query() -> QueryRequest {
+    plan(1, LooksFor::Terms).remove(0).query
+}
+
+fn known() -> KnownSnapshots {
+    BTreeMap::from([((SERVICE.to_owned(), 1), BTreeSet::from([0, 1, 2]))])
+}
+
+fn answer(answered: &[u32], missing: &[u32], content_seed: u64) -> Answer {
+    let missing = missing.iter().map(|shard| (*shard, MissingReason::Overloaded)).collect();
+    let coverage = Coverage::new(1, answered.iter().copied().collect(), missing).unwrap();
+    let query = query();
+    let partials: Vec<_> = answered
+        .iter()
+        .map(|shard| naive_search(content_seed, SERVICE, 1, *shard, &query.selection, 7))
+        .collect();
+    Answer::merge(SERVICE.to_owned(), coverage, &partials, 7).unwrap()
+}
+
+fn options(arguments: &[&str]) -> Result<Request, String> {
+    let arguments = arguments.iter().map(OsString::from).collect();
+    Options::from_arguments(Arguments::from_vec(arguments))
+}
+
+#[test]
+fn arrivals_follow_from_the_seed() {
+    let first = plan(5, LooksFor::Key);
+    let again = plan(5, LooksFor::Key);
+    let other = plan(6, LooksFor::Key);
+
+    let times = |plan: &[Arrival]| plan.iter().map(|arrival| arrival.at).collect::<Vec<_>>();
+    assert_eq!(times(&first), times(&again));
+    assert!(first.iter().zip(&again).all(|(left, right)| left.query == right.query));
+    assert_ne!(times(&first), times(&other));
+}
+
+#[test]
+fn arrivals_keep_the_rate_and_the_checked_share() {
+    let plan = plan(5, LooksFor::Terms);
+
+    let seconds = plan.last().unwrap().at.as_secs_f64();
+    let checked = plan.iter().filter(|arrival| arrival.checked).count();
+
+    assert!((9.0..11.0).contains(&seconds), "{seconds}");
+    assert!((150..250).contains(&checked), "{checked}");
+    assert!(plan.windows(2).all(|pair| pair[0].at <= pair[1].at));
+}
+
+#[test]
+fn complete_and_partial_answers_that_are_naive_over_their_coverage_pass() {
+    let complete = check_answer(1, &query(), &answer(&[0, 1, 2], &[], 1), &known());
+    let partial = check_answer(1, &query(), &answer(&[0, 2], &[1], 1), &known());
+
+    assert_eq!((complete, partial), (Ok(()), Ok(())));
+}
+
+#[test]
+fn wrong_answers_are_told_by_kind() {
+    let content = check_answer(1, &query(), &answer(&[0, 1, 2], &[], 2), &known());
+    let coverage = check_answer(1, &query(), &answer(&[0, 1], &[], 1), &known());
+    let snapshot = check_answer(1, &query(), &answer(&[0, 1, 2], &[], 1), &BTreeMap::new());
+
+    assert_eq!(content, Err(Wrong::Content));
+    assert_eq!(coverage, Err(Wrong::Coverage));
+    assert_eq!(snapshot, Err(Wrong::UnknownSnapshot));
+}
+
+#[test]
+fn the_tally_tells_complete_partial_and_late_apart() {
+    let mut tally = Tally::new();
+    let deadline = Duration::from_millis(100);
+
+    tally.answered(&answer(&[0, 1, 2], &[], 1), Duration::from_millis(50), deadline);
+    tally.answered(&answer(&[0], &[1, 2], 1), Duration::from_millis(500), deadline);
+
+    assert_eq!((tally.complete, tally.partial, tally.late), (1, 1, 1));
+    assert_eq!((tally.shards_named, tally.shards_answered), (6, 4));
+    assert_eq!(tally.missing, BTreeMap::from([("overloaded".to_owned(), 2)]));
+}
+
+#[test]
+fn a_bad_experiment_is_refused_with_the_path_of_its_fault() {
+    let load = |fields: &str| {
+        format!(r#"{{"cases":[{{"name":"a","place":"armor","load":[{{{fields}}}]}}]}}"#)
+    };
+    let cases = [
+        (r#"{"duraton_s": 3}"#.to_owned(), "duraton_s"),
+        (r#"{"duration_s": 0}"#.to_owned(), "`duration_s`"),
+        (r#"{"duration_s": 601}"#.to_owned(), "`duration_s`"),
+        (r#"{"policies": ["fast"]}"#.to_owned(), "policies[0]"),
+        (r#"{"cases": []}"#.to_owned(), "`cases`"),
+        (load(r#""service":"x","class":"sweep","rate_per_s":1"#), "`cases[0].load[0].service`"),
+        (
+            load(r#""service":"batch-ledger","class":"sweep","rate_per_s":20001"#),
+            "`cases[0].load[0].rate_per_s`",
+        ),
+        (
+            r#"{"cases":[{"name":"a","place":"armor","vms":{"running":{"addresses":["192.0.2.1:80"]}},
+                "load":[{"service":"batch-ledger","class":"sweep","rate_per_s":1}]}]}"#
+                .to_owned(),
+            "`cases[0].vms`",
+        ),
+        (
+            r#"{"cases":[{"name":"a","place":"armor","faults":[{"at_s":1,"fault":{"kill_vm":4}}],
+                "load":[{"service":"batch-ledger","class":"sweep","rate_per_s":1}]}]}"#
+                .to_owned(),
+            "`cases[0].faults[0].fault`",
+        ),
+    ];
+
+    for (change, path) in cases {
+        let error = experiment(&change).unwrap_err();
+
+        assert!(error.contains(path), "{change}: {error}");
+    }
+}
+
+#[test]
+fn misspelt_options_are_named() {
+    let misspelt = options(&["a.json", "--jsn", "x"]);
+    let extra = options(&["a.json", "b.json"]);
+    let none = options(&[]);
+
+    assert!(misspelt.err().unwrap().contains("--jsn"));
+    assert!(extra.err().unwrap().contains("b.json"));
+    assert!(none.err().unwrap().contains("experiment file"));
+}
+
+#[test]
+fn the_examples_are_sound() {
+    let directory = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/experiments");
+    let mut count = 0;
+    for entry in std::fs::read_dir(directory).unwrap() {
+        let path = entry.unwrap().path();
+        let text = std::fs::read_to_string(&path).unwrap();
+
+        let parsed = Experiment::parse(&text);
+
+        assert!(parsed.is_ok(), "{}: {}", path.display(), parsed.unwrap_err());
+        count += 1;
+    }
+    assert!(count > 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_small_run_accounts_for_every_request_and_finds_no_wrong_answer() {
+    let mut experiment = experiment("{}").unwrap();
+    experiment.checked_permille = 1_000;
+
+    let result = run_case(&experiment, &experiment.cases[0], RoutingPolicy::Owner).await.unwrap();
+    let mut report = Report::new(&experiment);
+    report.add(&experiment.cases[0], &result);
+
+    let tally = &result.tallies[0];
+    let accounted = tally.answers() + tally.refusals() + tally.failed + tally.dropped;
+    assert_eq!(accounted, tally.arrived);
+    assert!(tally.answers() > 0, "{:?}", tally.refused);
+    assert_eq!((tally.checked, report.wrong_answers()), (tally.answers(), 0));
+    assert!(result.sent.unwrap() >= result.needed);
+    assert!(report.markdown().contains("| ledger | owner | batch-ledger, sweep |"));
+    assert!(latency_svg(&report).unwrap().starts_with("<svg"));
+}
--- a/crates/papayastack-standin/src/place/shapes.rs
+++ b/crates/papayastack-standin/src/place/shapes.rs
@@ -138,6 +138,12 @@
         (0..self.upstreams).map(|index| format!("{}-{index:02}", self.name)).collect()
     }
 
+    /// Returns which replica of its shard an upstream is, counted from 0.
+    pub fn replica_of(&self, upstream: &str) -> Option<u32> {
+        let index: u32 = upstream.rsplit_once('-')?.1.parse().ok()?;
+        Some(index / self.shards)
+    }
+
     /// Returns the index of the data centre, of three, that upstream `index` runs in.
     pub fn data_centre_index(&self, index: u32) -> usize {
         // Successive replicas of one shard stand `shards` apart; the round number moves them to
