Decide an apply as a pure machine

Where the chain of changes is broken by a foreign write, the outcome is unknown rather than claimed.

Contract change: Bundle has earlier_change_ids. The stand-in place publishes no empty overlays, which the check refuses as changing nothing.

--- /dev/null
+++ b/crates/papayastack-control/src/commands/mod.rs
@@ -0,0 +1,55 @@
+//! The commands.
+
+mod apply;
+mod files;
+mod vms;
+
+use serde::Serialize;
+
+use crate::Exit;
+use crate::complaint::Complaint;
+use crate::options::Command;
+
+/// Runs a command and prints its result.
+pub(crate) async fn run(command: Command, json: bool) -> Exit {
+    match command {
+        Command::Check { source } => files::check(&source, json),
+        Command::Render { source, site } => files::render_site(&source, &site, json),
+        Command::DiffSites { source, left, right } => {
+            files::diff_sites(&source, &left, &right, json)
+        }
+        Command::DiffSources { left, right, site } => {
+            files::diff_sources(&left, &right, site.as_deref(), json)
+        }
+        Command::Fetch { platform } => apply::fetch(platform).await,
+        Command::Apply(command) => apply::run(command, json).await,
+        Command::Status { operators, platform } => vms::status(operators, platform, json).await,
+        Command::Drain { operators } => vms::drain(operators, json).await,
+        Command::Settings => {
+            print!("{}", papayastack::settings_reference());
+            Exit::Success
+        }
+    }
+}
+
+fn print_json(value: &impl Serialize) {
+    let text = serde_json::to_string_pretty(value).expect("results serialise as JSON");
+    println!("{text}");
+}
+
+fn print_complaints(complaints: &[Complaint], json: bool) -> Exit {
+    if json {
+        print_json(&serde_json::json!({ "faults": complaints }));
+    } else {
+        for complaint in complaints {
+            eprintln!("{complaint}");
+        }
+        eprintln!("papayactl: {} faults", complaints.len());
+    }
+    Exit::Faults
+}
+
+fn fail(problem: &str) -> Exit {
+    eprintln!("papayactl: {problem}");
+    Exit::Failed
+}
--- a/crates/papayastack-control/src/main.rs
+++ b/crates/papayastack-control/src/main.rs
@@ -1,3 +1,50 @@
 //! The operators' command line.
 
-fn main() {}
+mod commands;
+mod complaint;
+mod json;
+mod operators;
+mod options;
+mod source;
+
+use std::process::ExitCode;
+
+use options::Request;
+
+/// What a command ends with; the numbers are documented in the help text.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Exit {
+    Success = 0,
+    Failed = 1,
+    WrongUse = 2,
+    Faults = 3,
+    Raced = 4,
+    Unknown = 5,
+    NotEverywhere = 6,
+}
+
+impl From<Exit> for ExitCode {
+    fn from(exit: Exit) -> Self {
+        Self::from(exit as u8)
+    }
+}
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> ExitCode {
+    let exit = match options::from_arguments(std::env::args_os().skip(1).collect()) {
+        Ok(Request::Help) => {
+            print!("{}", options::HELP);
+            Exit::Success
+        }
+        Ok(Request::Version) => {
+            println!("papayactl {}", env!("CARGO_PKG_VERSION"));
+            Exit::Success
+        }
+        Ok(Request::Run { command, json }) => commands::run(command, json).await,
+        Err(problem) => {
+            eprintln!("papayactl: {problem}; see --help");
+            Exit::WrongUse
+        }
+    };
+    exit.into()
+}
--- /dev/null
+++ b/crates/papayastack-control/src/operators.rs
@@ -0,0 +1,75 @@
+//! The client of the VMs' operators' ports.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::{Method, Request, StatusCode};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use papayastack::{DRAIN_PATH, STATUS_PATH, VmStatus};
+
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(3);
+const BODY_MAX_BYTES: usize = 16 * 1024 * 1024;
+
+/// Asks VMs at their operators' ports.
+#[derive(Debug)]
+pub(crate) struct OperatorsClient {
+    client: Client<HttpConnector, Empty<Bytes>>,
+}
+
+impl OperatorsClient {
+    /// Opens a client without connections.
+    pub(crate) fn open() -> Self {
+        Self { client: Client::builder(TokioExecutor::new()).build_http() }
+    }
+
+    /// Asks the VM at `address` for its state.
+    ///
+    /// # Errors
+    /// No answer in time, or one that is not a status.
+    pub(crate) async fn status(&self, address: SocketAddr) -> Result<VmStatus, String> {
+        let body = self.call(Method::GET, address, STATUS_PATH, StatusCode::OK).await?;
+        serde_json::from_slice(&body).map_err(|error| format!("not a status: {error}"))
+    }
+
+    /// Makes the VM at `address` leave.
+    ///
+    /// # Errors
+    /// No answer in time, or a refusal.
+    pub(crate) async fn drain(&self, address: SocketAddr) -> Result<(), String> {
+        self.call(Method::POST, address, DRAIN_PATH, StatusCode::ACCEPTED).await.map(|_| ())
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        address: SocketAddr,
+        path: &str,
+        expected: StatusCode,
+    ) -> Result<Bytes, String> {
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{address}{path}"))
+            .body(Empty::new())
+            .map_err(|error| error.to_string())?;
+        let answer = async {
+            let response = self.client.request(request).await.map_err(|error| describe(&error))?;
+            let status = response.status();
+            let body = Limited::new(response.into_body(), BODY_MAX_BYTES);
+            let body = body.collect().await.map_err(|error| error.to_string())?;
+            if status != expected {
+                return Err(format!("answered {status}; is this an operators' address?"));
+            }
+            Ok(body.to_bytes())
+        };
+        let answer = tokio::time::timeout(ANSWER_TIMEOUT, answer).await;
+        answer.unwrap_or_else(|_| Err(format!("no answer in {} s", ANSWER_TIMEOUT.as_secs())))
+    }
+}
+
+fn describe(error: &hyper_util::client::legacy::Error) -> String {
+    if error.is_connect() { "cannot connect".to_owned() } else { error.to_string() }
+}
--- /dev/null
+++ b/crates/papayastack-control/src/options.rs
@@ -0,0 +1,312 @@
+//! The command line.
+
+use std::ffi::OsString;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use papayastack::nearest_name;
+use pico_args::Arguments;
+
+use crate::source::Source;
+
+pub(crate) const HELP: &str = "\
+Checks, shows and applies the configuration of papayastack, and asks VMs about themselves.
+
+Usage: papayactl COMMAND [options]
+
+Commands:
+  check [FILES]                     check the base by itself and with every overlay
+  render --site NAME [FILES]        print the settings of one site
+  diff [FILES] --site A --site B    print what differs between two sites
+  diff PATH PATH [--site NAME]      print what differs between two configurations
+  fetch --platform ADDRESS          print the configuration at the platform with its version
+  apply --platform ADDRESS [FILES]  check every site, then replace the configuration
+  status --operator ADDRESS         ask VMs for their state; with --platform, compare its list
+  drain --operator ADDRESS          make a VM leave without cutting a request
+  settings                          print the reference of all settings
+
+FILES is one of:
+  DIRECTORY                         holds base.json and overlays/SITE.json
+  FILE                              holds base and overlays, as printed by fetch
+  --base FILE [--overlay SITE=FILE] names each file; --overlay may be repeated
+
+Options:
+  --site NAME            a site
+  --platform ADDRESS     an address of the platform; may be repeated
+  --operator ADDRESS     the operators' address of a VM; may be repeated
+  --expect-version N     apply only if the platform still has version N; 0 for none at all.
+                         A file printed by fetch carries its version; without either, the
+                         version that apply reads counts
+  --change-id TEXT       the id of an earlier apply whose outcome is unknown
+  --wait                 after apply, wait until the configuration is in force everywhere
+  --timeout-ms N         how long --wait waits (default 30000)
+  --json                 print JSON for scripts
+  --help                 print this text
+  --version              print the version
+
+Exit codes:
+  0  done
+  1  failed; nothing was changed
+  2  wrong use
+  3  the files have faults
+  4  another operator changed the configuration first; nothing was changed
+  5  an answer was lost and the change may take effect; repeat with the --change-id that is printed
+  6  not in force on all VMs, or a VM did not answer
+";
+
+const COMMANDS: [&str; 9] =
+    ["check", "render", "diff", "fetch", "apply", "status", "drain", "settings", "help"];
+const OPTIONS: [&str; 13] = [
+    "--base",
+    "--overlay",
+    "--site",
+    "--platform",
+    "--operator",
+    "--expect-version",
+    "--change-id",
+    "--wait",
+    "--timeout-ms",
+    "--json",
+    "--help",
+    "--version",
+    "-h",
+];
+const TIMEOUT_DEFAULT: Duration = Duration::from_secs(30);
+
+/// What the command line asks for.
+#[derive(Debug)]
+pub(crate) enum Request {
+    Help,
+    Version,
+    Run { command: Command, json: bool },
+}
+
+/// One command with its options.
+#[derive(Debug)]
+pub(crate) enum Command {
+    Check { source: Source },
+    Render { source: Source, site: String },
+    DiffSites { source: Source, left: String, right: String },
+    DiffSources { left: Source, right: Source, site: Option<String> },
+    Fetch { platform: Vec<SocketAddr> },
+    Apply(ApplyCommand),
+    Status { operators: Vec<SocketAddr>, platform: Vec<SocketAddr> },
+    Drain { operators: Vec<SocketAddr> },
+    Settings,
+}
+
+/// The options of `apply`.
+#[derive(Debug)]
+pub(crate) struct ApplyCommand {
+    pub(crate) source: Source,
+    pub(crate) platform: Vec<SocketAddr>,
+    pub(crate) expected_version: Option<u64>,
+    pub(crate) change_id: Option<String>,
+    /// How long to wait until the configuration is in force everywhere.
+    pub(crate) wait: Option<Duration>,
+    pub(crate) operators: Vec<SocketAddr>,
+}
+
+/// Everything that the options may say, before it is known which of it the command takes.
+struct Options {
+    base: Option<PathBuf>,
+    overlays: Vec<(String, PathBuf)>,
+    sites: Vec<String>,
+    platform: Vec<SocketAddr>,
+    operators: Vec<SocketAddr>,
+    expected_version: Option<u64>,
+    change_id: Option<String>,
+    wait: bool,
+    timeout_ms: Option<u64>,
+    paths: Vec<PathBuf>,
+}
+
+/// Reads the arguments after the program's name.
+pub(crate) fn from_arguments(arguments: Vec<OsString>) -> Result<Request, String> {
+    let mut arguments = Arguments::from_vec(arguments);
+    if arguments.contains(["-h", "--help"]) {
+        return Ok(Request::Help);
+    }
+    if arguments.contains("--version") {
+        return Ok(Request::Version);
+    }
+    let json = arguments.contains("--json");
+    let name = arguments.subcommand().map_err(|error| error.to_string())?;
+    let Some(name) = name else {
+        let misspelt = arguments.finish();
+        return Err(match misspelt.first() {
+            Some(option) => unknown_option(&option.to_string_lossy()),
+            None => format!("a command is missing; the commands are {}", COMMANDS.join(", ")),
+        });
+    };
+    if name == "help" {
+        return Ok(Request::Help);
+    }
+    if !COMMANDS.contains(&name.as_str()) {
+        return Err(unknown("command", &name, &COMMANDS));
+    }
+    let options = Options::read(arguments)?;
+    let command = options.into_command(&name)?;
+    Ok(Request::Run { command, json })
+}
+
+impl Options {
+    fn read(mut arguments: Arguments) -> Result<Self, String> {
+        let text = |error: pico_args::Error| error.to_string();
+        let options = Self {
+            base: arguments.opt_value_from_os_str("--base", to_path).map_err(text)?,
+            overlays: arguments.values_from_fn("--overlay", to_overlay).map_err(text)?,
+            sites: arguments.values_from_str("--site").map_err(text)?,
+            platform: arguments.values_from_str("--platform").map_err(text)?,
+            operators: arguments.values_from_str("--operator").map_err(text)?,
+            expected_version: arguments.opt_value_from_str("--expect-version").map_err(text)?,
+            change_id: arguments.opt_value_from_str("--change-id").map_err(text)?,
+            wait: arguments.contains("--wait"),
+            timeout_ms: arguments.opt_value_from_str("--timeout-ms").map_err(text)?,
+            paths: Vec::new(),
+        };
+        let rest = arguments.finish();
+        let misspelt = rest.iter().map(|word| word.to_string_lossy());
+        if let Some(option) = misspelt.into_iter().find(|word| word.starts_with('-')) {
+            return Err(unknown_option(&option));
+        }
+        Ok(Self { paths: rest.into_iter().map(PathBuf::from).collect(), ..options })
+    }
+
+    fn into_command(mut self, name: &str) -> Result<Command, String> {
+        self.refuse_unused(name)?;
+        match name {
+            "check" => Ok(Command::Check { source: self.source()? }),
+            "render" => Ok(Command::Render { site: self.site()?, source: self.source()? }),
+            "diff" => self.into_diff(),
+            "fetch" => Ok(Command::Fetch { platform: self.platform()? }),
+            "apply" => Ok(Command::Apply(self.into_apply()?)),
+            "status" => {
+                Ok(Command::Status { operators: self.operators()?, platform: self.platform })
+            }
+            "drain" => Ok(Command::Drain { operators: self.operators()? }),
+            _ => Ok(Command::Settings),
+        }
+    }
+
+    fn into_diff(mut self) -> Result<Command, String> {
+        if self.paths.len() == 2 && self.base.is_none() {
+            if self.sites.len() > 1 {
+                return Err("two configurations are compared at one --site at most".into());
+            }
+            let right = Source::Path(self.paths.remove(1));
+            let left = Source::Path(self.paths.remove(0));
+            return Ok(Command::DiffSources { left, right, site: self.sites.pop() });
+        }
+        let [left, right] = &self.sites[..] else {
+            return Err("diff needs two paths, or one configuration and two --site".into());
+        };
+        let (left, right) = (left.clone(), right.clone());
+        Ok(Command::DiffSites { source: self.source()?, left, right })
+    }
+
+    fn into_apply(mut self) -> Result<ApplyCommand, String> {
+        let source = self.source()?;
+        let platform = self.platform()?;
+        let wait = self.wait.then(|| self.timeout_ms.map_or(TIMEOUT_DEFAULT, Duration::from_millis));
+        if self.timeout_ms.is_some() && !self.wait {
+            return Err("--timeout-ms needs --wait".into());
+        }
+        if self.wait && self.operators.is_empty() {
+            return Err("--wait needs --operator ADDRESS, at which a VM tells what is in force".into());
+        }
+        Ok(ApplyCommand {
+            source,
+            platform,
+            expected_version: self.expected_version,
+            change_id: self.change_id,
+            wait,
+            operators: self.operators,
+        })
+    }
+
+    /// Refuses options that the command does not take, rather than ignoring them.
+    fn refuse_unused(&self, name: &str) -> Result<(), String> {
+        let takes_files = matches!(name, "check" | "render" | "diff" | "apply");
+        let takes_platform = matches!(name, "fetch" | "apply" | "status");
+        let takes_operator = matches!(name, "apply" | "status" | "drain");
+        let given = [
+            ("--base", self.base.is_some(), takes_files),
+            ("--overlay", !self.overlays.is_empty(), takes_files),
+            ("a path", !self.paths.is_empty(), takes_files),
+            ("--site", !self.sites.is_empty(), matches!(name, "render" | "diff")),
+            ("--platform", !self.platform.is_empty(), takes_platform),
+            ("--operator", !self.operators.is_empty(), takes_operator),
+            ("--expect-version", self.expected_version.is_some(), name == "apply"),
+            ("--change-id", self.change_id.is_some(), name == "apply"),
+            ("--wait", self.wait, name == "apply"),
+            ("--timeout-ms", self.timeout_ms.is_some(), name == "apply"),
+        ];
+        match given.into_iter().find(|(_, given, taken)| *given && !taken) {
+            Some((option, ..)) => Err(format!("{name} takes no {option}")),
+            None => Ok(()),
+        }
+    }
+
+    fn source(&mut self) -> Result<Source, String> {
+        match (self.base.take(), std::mem::take(&mut self.paths).as_mut_slice()) {
+            (Some(base), []) => {
+                let overlays = std::mem::take(&mut self.overlays);
+                Ok(Source::Files { base, overlays })
+            }
+            (None, [path]) if self.overlays.is_empty() => Ok(Source::Path(std::mem::take(path))),
+            (None, []) if self.overlays.is_empty() => {
+                Err("the configuration is missing; name a path or --base FILE".into())
+            }
+            (None, _) if !self.overlays.is_empty() => Err("--overlay needs --base FILE".into()),
+            _ => Err("name the configuration once, by one path or by --base".into()),
+        }
+    }
+
+    fn site(&mut self) -> Result<String, String> {
+        match (self.sites.pop(), self.sites.is_empty()) {
+            (Some(site), true) => Ok(site),
+            _ => Err("--site NAME is needed once".into()),
+        }
+    }
+
+    fn platform(&mut self) -> Result<Vec<SocketAddr>, String> {
+        match std::mem::take(&mut self.platform) {
+            addresses if addresses.is_empty() => Err("--platform ADDRESS is missing".into()),
+            addresses => Ok(addresses),
+        }
+    }
+
+    fn operators(&mut self) -> Result<Vec<SocketAddr>, String> {
+        match std::mem::take(&mut self.operators) {
+            addresses if addresses.is_empty() => Err("--operator ADDRESS is missing".into()),
+            addresses => Ok(addresses),
+        }
+    }
+}
+
+fn to_path(text: &std::ffi::OsStr) -> Result<PathBuf, String> {
+    Ok(PathBuf::from(text))
+}
+
+fn to_overlay(text: &str) -> Result<(String, PathBuf), String> {
+    match text.split_once('=') {
+        Some((site, file)) if !site.is_empty() && !file.is_empty() => {
+            Ok((site.to_owned(), PathBuf::from(file)))
+        }
+        _ => Err("write --overlay SITE=FILE".to_owned()),
+    }
+}
+
+fn unknown_option(option: &str) -> String {
+    let name = option.split('=').next().unwrap_or(option);
+    unknown("option", name, &OPTIONS)
+}
+
+fn unknown(what: &str, name: &str, known: &[&str]) -> String {
+    match nearest_name(name, known.iter().copied()) {
+        Some(nearest) => format!("unknown {what} `{name}`; did you mean `{nearest}`?"),
+        None => format!("unknown {what} `{name}`; known are {}", known.join(", ")),
+    }
+}
--- a/crates/papayastack-standin/src/place/standin.rs
+++ b/crates/papayastack-standin/src/place/standin.rs
@@ -148,11 +148,11 @@
             .iter()
             .map(|(name, shape)| (name.clone(), self.service_settings(shape)))
             .collect();
-        let sites = self.place.data_centres();
         Bundle {
             change_id: format!("standin-{}-{}", self.place.name(), self.seed),
+            earlier_change_ids: Vec::new(),
             base: json!({ "data_centres": data_centres, "services": services }),
-            overlays: sites.into_iter().map(|site| (site.to_owned(), json!({}))).collect(),
+            overlays: BTreeMap::new(),
         }
     }
 
--- a/crates/papayastack/src/configuration/status.rs
+++ b/crates/papayastack/src/configuration/status.rs
@@ -9,11 +9,6 @@
 use crate::ids::{DataCentreName, ServiceName, SiteName, SnapshotVersion};
 use crate::membership::{Member, MemberState, VmIdentity};
 
-/// The path on the operators' port at which a VM answers `GET` with its [`VmStatus`].
-pub const STATUS_PATH: &str = "/status";
-/// The path on the operators' port at which `POST` makes a VM leave.
-pub const DRAIN_PATH: &str = "/drain";
-
 /// The state of one VM as it sees it.
 #[message]
 pub struct VmStatus {
--- a/crates/papayastack/src/configuration/tests/driver.rs
+++ b/crates/papayastack/src/configuration/tests/driver.rs
@@ -133,7 +133,7 @@
         };
         (vm, member)
     });
-    MemberView { members: members.collect() }
+    MemberView { members: members.collect(), ..MemberView::default() }
 }
 
 async fn in_force_everywhere(drivers: &mut Drivers, version: u64) {
--- a/crates/papayastack/src/configuration/tests/fleet.rs
+++ b/crates/papayastack/src/configuration/tests/fleet.rs
@@ -144,7 +144,7 @@
 
     fn announce(&mut self) {
         let members = self.machines.keys().map(|vm| (*vm, member(*vm, self.lives[vm])));
-        let view = Arc::new(MemberView { members: members.collect() });
+        let view = Arc::new(MemberView { members: members.collect(), ..MemberView::default() });
         for vm in self.machines.keys().copied().collect::<Vec<_>>() {
             let view = Arc::clone(&view);
             self.act(vm, |machine, now| machine.on_members(view, now));
--- a/crates/papayastack/src/configuration/tests/mod.rs
+++ b/crates/papayastack/src/configuration/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of the configuration.
 
 mod adoption;
+mod apply;
 mod driver;
 mod fleet;
 mod gossip;
--- a/crates/papayastack/src/settings/tests.rs
+++ b/crates/papayastack/src/settings/tests.rs
@@ -25,7 +25,8 @@
 
 fn bundle(base: Value, overlays: &[(&str, Value)]) -> Bundle {
     let overlays = overlays.iter().map(|(site, overlay)| ((*site).to_owned(), overlay.clone()));
-    Bundle { change_id: "change".into(), base, overlays: overlays.collect() }
+    let (change_id, earlier_change_ids) = ("change".into(), Vec::new());
+    Bundle { change_id, earlier_change_ids, base, overlays: overlays.collect() }
 }
 
 fn places(faults: &[Fault]) -> Vec<(String, &str)> {
