--- a/crates/papayastack-control/src/options.rs
+++ b/crates/papayastack-control/src/options.rs
@@ -209,12 +209,15 @@
     fn into_apply(mut self) -> Result<ApplyCommand, String> {
         let source = self.source()?;
         let platform = self.platform()?;
-        let wait = self.wait.then(|| self.timeout_ms.map_or(TIMEOUT_DEFAULT, Duration::from_millis));
+        let wait =
+            self.wait.then(|| self.timeout_ms.map_or(TIMEOUT_DEFAULT, Duration::from_millis));
         if self.timeout_ms.is_some() && !self.wait {
             return Err("--timeout-ms needs --wait".into());
         }
         if self.wait && self.operators.is_empty() {
-            return Err("--wait needs --operator ADDRESS, at which a VM tells what is in force".into());
+            return Err(
+                "--wait needs --operator ADDRESS, at which a VM tells what is in force".into()
+            );
         }
         Ok(ApplyCommand {
             source,
--- a/crates/papayastack-control/src/source.rs
+++ b/crates/papayastack-control/src/source.rs
@@ -99,7 +99,11 @@
         let file = path.display().to_string();
         if documents.contains_key(site) {
             let hint = "name one file for each site";
-            keep(Err(Complaint::about_file(&file, format!("site `{site}` has two overlays"), hint)));
+            keep(Err(Complaint::about_file(
+                &file,
+                format!("site `{site}` has two overlays"),
+                hint,
+            )));
         }
         documents.insert(site.clone(), keep(read(path)));
         places.insert(SettingsFile::Overlay(site.clone()), (file, String::new()));
@@ -142,8 +146,7 @@
         let problem = format!("`{name}` does not belong here");
         return Err(complain(&format!("/{name}"), &problem, BUNDLE_HINT));
     }
-    let mut places =
-        BTreeMap::from([(SettingsFile::Base, (file.clone(), "/base".to_owned()))]);
+    let mut places = BTreeMap::from([(SettingsFile::Base, (file.clone(), "/base".to_owned()))]);
     for site in overlays.keys() {
         let prefix = format!("/overlays/{}", site.replace('~', "~0").replace('/', "~1"));
         places.insert(SettingsFile::Overlay(site.clone()), (file.clone(), prefix));
--- a/crates/papayastack/src/configuration/apply_driver.rs
+++ b/crates/papayastack/src/configuration/apply_driver.rs
@@ -13,9 +13,7 @@
     let mut output = machine.begin();
     loop {
         let input = match output {
-            ApplyOutput::Read => {
-                ApplyInput::Read(platform.read(&configuration_object()).await)
-            }
+            ApplyOutput::Read => ApplyInput::Read(platform.read(&configuration_object()).await),
             ApplyOutput::Update { precondition, bundle } => {
                 ApplyInput::Updated(update(platform, precondition, &bundle).await)
             }
--- a/crates/papayastack/src/configuration/mod.rs
+++ b/crates/papayastack/src/configuration/mod.rs
@@ -17,8 +17,8 @@
 mod watchers;
 mod watching;
 
-pub use apply_driver::apply;
 pub use apply::{ApplyInput, ApplyMachine, ApplyOutcome, ApplyOutput, ApplyRequest, RaceReport};
+pub use apply_driver::apply;
 pub use bundle::{Bundle, CONFIGURATION_KIND, CONFIGURATION_NAME, EARLIER_CHANGES_MAX, InForce};
 pub use driver::{ConfigurationDriver, ConfigurationHandle, ConfigurationStatus};
 pub use machine::{ConfigurationCounters, ConfigurationMachine, ConfigurationOutput};
