--- a/crates/papayastack/src/configuration/mod.rs
+++ b/crates/papayastack/src/configuration/mod.rs
@@ -1,6 +1,7 @@
 //! Configuration: the accepted bundle of base and overlays, and what is in force on this VM.
 
 mod apply;
+mod apply_driver;
 mod bundle;
 mod document;
 mod driver;
@@ -17,6 +18,7 @@
 mod watching;
 
 pub use apply::{ApplyInput, ApplyMachine, ApplyOutcome, ApplyOutput, ApplyRequest, RaceReport};
+pub use apply_driver::apply;
 pub use bundle::{Bundle, CONFIGURATION_KIND, CONFIGURATION_NAME, EARLIER_CHANGES_MAX, InForce};
 pub use driver::{ConfigurationDriver, ConfigurationHandle, ConfigurationStatus};
 pub use machine::{ConfigurationCounters, ConfigurationMachine, ConfigurationOutput};
