Write the callers' page, the OpenAPI document and the metrics page

The OpenAPI document is checked against the server: each documented status of each path is provoked over HTTP, fields and names of closed sets are compared with the messages. The metrics page is checked against what is registered. Series whose labels are known now start at zero: before, a family was absent until its first event, and a rate missed that event. The coverage histogram is called _ratio, as is usual, where the library's own unit says _ratios.

--- a/crates/papayastack/src/caller/tests/fixtures.rs
+++ b/crates/papayastack/src/caller/tests/fixtures.rs
@@ -28,6 +28,7 @@
     pub(super) script: Mutex<Script>,
     pub(super) limits: Mutex<LimitSettings>,
     pub(super) addresses: Mutex<Vec<(SocketAddr, &'static str)>>,
+    pub(super) refuse_addresses: Mutex<bool>,
     pub(super) contexts: Mutex<Vec<RequestContext>>,
     pub(super) started: Notify,
     pub(super) dropped: Arc<Notify>,
@@ -40,6 +41,7 @@
             script: Mutex::new(script),
             limits: Mutex::new(LimitSettings::default()),
             addresses: Mutex::default(),
+            refuse_addresses: Mutex::default(),
             contexts: Mutex::default(),
             started: Notify::new(),
             dropped: Arc::default(),
@@ -98,6 +100,9 @@
         &self,
         data_centre: Option<String>,
     ) -> Result<AddressesAnswer, RefusalAnswer> {
+        if *self.refuse_addresses.lock().unwrap() {
+            return Err(refused("r", RefusalReason::NotReady, false, None));
+        }
         let known = self.addresses.lock().unwrap().clone();
         if known.is_empty() {
             return Ok(AddressesAnswer {
--- a/crates/papayastack/src/caller/tests/mod.rs
+++ b/crates/papayastack/src/caller/tests/mod.rs
@@ -3,5 +3,6 @@
 mod book;
 mod client;
 mod fixtures;
+mod openapi;
 mod retry;
 mod server;
--- a/crates/papayastack/src/observe/labels.rs
+++ b/crates/papayastack/src/observe/labels.rs
@@ -2,10 +2,13 @@
 
 use papayastack_macros::closed_set;
 
-use crate::outcome::{Answer, Certainty, Refusal};
+use crate::outcome::{Answer, Certainty, Refusal, RefusalReason};
 use crate::platform::PlatformError;
 use crate::query::{AttemptOutcome, FailureReason, NotRunReason};
 
+/// The label of an attempt that was answered.
+pub(crate) const ANSWERED: &str = "answered";
+
 /// How a query ended for its caller.
 #[closed_set]
 pub enum QueryOutcome {
@@ -26,6 +29,17 @@
 }
 
 impl QueryOutcome {
+    /// All outcomes.
+    pub const ALL: [Self; 7] = [
+        Self::Found,
+        Self::FoundPartial,
+        Self::NoneFound,
+        Self::Inconclusive,
+        Self::NotRun,
+        Self::OutcomeUnknown,
+        Self::Cancelled,
+    ];
+
     /// Classifies an answer.
     pub fn of_answer(answer: &Answer) -> Self {
         let verdict = answer.verdict();
@@ -76,6 +90,9 @@
 }
 
 impl SubmissionOutcome {
+    /// All outcomes.
+    pub const ALL: [Self; 4] = [Self::Done, Self::Repeated, Self::NotRun, Self::OutcomeUnknown];
+
     /// Classifies a refusal.
     pub fn of_refusal(refusal: &Refusal) -> Self {
         match refusal.certainty() {
@@ -113,6 +130,10 @@
 }
 
 impl PlatformCall {
+    /// All kinds of call.
+    pub const ALL: [Self; 6] =
+        [Self::Read, Self::Watch, Self::Update, Self::Delete, Self::List, Self::Vms];
+
     /// Returns the name in labels.
     pub fn name(self) -> &'static str {
         match self {
@@ -142,7 +163,7 @@
 /// Returns the label of an attempt's outcome.
 pub(crate) fn attempt_name(outcome: &AttemptOutcome) -> &'static str {
     match outcome {
-        AttemptOutcome::Answered(_) => "answered",
+        AttemptOutcome::Answered(_) => ANSWERED,
         AttemptOutcome::NotRun(reason) => match reason {
             NotRunReason::Shed => "shed",
             NotRunReason::Draining => "draining",
@@ -163,3 +184,22 @@
         },
     }
 }
+
+/// Returns the label of a refusal's reason.
+pub(crate) fn reason_name(reason: RefusalReason) -> &'static str {
+    match reason {
+        RefusalReason::BadRequest => "bad_request",
+        RefusalReason::UnknownService => "unknown_service",
+        RefusalReason::Overloaded => "overloaded",
+        RefusalReason::DeadlineTooShort => "deadline_too_short",
+        RefusalReason::NotReady => "not_ready",
+        RefusalReason::Leaving => "leaving",
+        RefusalReason::StoreUnavailable => "store_unavailable",
+        RefusalReason::UpstreamUnavailable => "upstream_unavailable",
+        RefusalReason::DeadlineExceeded => "deadline_exceeded",
+        RefusalReason::Conflict => "conflict",
+        RefusalReason::NoLongerKnown => "no_longer_known",
+        RefusalReason::InProgress => "in_progress",
+        RefusalReason::EarlierAttemptUnknown => "earlier_attempt_unknown",
+    }
+}
--- a/crates/papayastack/src/observe/metrics.rs
+++ b/crates/papayastack/src/observe/metrics.rs
@@ -15,7 +15,8 @@
 use prometheus_client::registry::{Metric, Registry, Unit};
 
 use super::labels::{
-    PlatformCall, QueryOutcome, SubmissionOutcome, attempt_name, platform_result_name,
+    ANSWERED, PlatformCall, QueryOutcome, SubmissionOutcome, attempt_name, platform_result_name,
+    reason_name,
 };
 use crate::membership::{MemberState, MemberView};
 use crate::outcome::{Coverage, RefusalReason};
@@ -97,6 +98,7 @@
         metrics.register_requests();
         metrics.register_dispatch();
         metrics.register_system();
+        metrics.start_at_zero();
         Arc::new(metrics)
     }
 
@@ -185,6 +187,31 @@
         self.platform_calls.get_or_create(&labels).inc();
     }
 
+    /// Creates the series whose labels are known, so that rates see their first event.
+    fn start_at_zero(&self) {
+        for class in QueryClass::BY_PRIORITY {
+            self.sub_requests(class, &FanoutCounts::default());
+            drop(self.query_coverage.get_or_create(&class_labels(class)));
+            for outcome in QueryOutcome::ALL {
+                let labels = QueryLabels { class: class.name(), outcome: outcome.name() };
+                drop(self.query_duration.get_or_create(&labels));
+            }
+        }
+        for outcome in SubmissionOutcome::ALL {
+            let labels = OutcomeLabels { outcome: outcome.name() };
+            drop(self.submission_duration.get_or_create(&labels));
+        }
+        for call in PlatformCall::ALL {
+            let result = platform_result_name(None);
+            drop(self.platform_calls.get_or_create(&CallLabels { call: call.name(), result }));
+        }
+        for reason in [RefusalReason::Overloaded, RefusalReason::DeadlineExceeded] {
+            drop(self.refusals.get_or_create(&ReasonLabels { reason: reason_name(reason) }));
+        }
+        drop(self.attempts.get_or_create(&OutcomeLabels { outcome: ANSWERED }));
+        self.set_members(&MemberView::default());
+    }
+
     fn members_in(&self, state: MemberState, count: usize) {
         let state = match state {
             MemberState::Live => "live",
@@ -204,7 +231,7 @@
         self.register_with_unit(
             "query_coverage",
             "Covered share of the shards of answers by class",
-            Unit::Ratios,
+            Unit::Other("ratio".to_owned()),
             |metrics| metrics.query_coverage.clone(),
         );
         self.register_with_unit(
@@ -341,21 +368,3 @@
 fn coverage_histogram() -> Histogram {
     Histogram::new(COVERAGE_BUCKETS_RATIO)
 }
-
-fn reason_name(reason: RefusalReason) -> &'static str {
-    match reason {
-        RefusalReason::BadRequest => "bad_request",
-        RefusalReason::UnknownService => "unknown_service",
-        RefusalReason::Overloaded => "overloaded",
-        RefusalReason::DeadlineTooShort => "deadline_too_short",
-        RefusalReason::NotReady => "not_ready",
-        RefusalReason::Leaving => "leaving",
-        RefusalReason::StoreUnavailable => "store_unavailable",
-        RefusalReason::UpstreamUnavailable => "upstream_unavailable",
-        RefusalReason::DeadlineExceeded => "deadline_exceeded",
-        RefusalReason::Conflict => "conflict",
-        RefusalReason::NoLongerKnown => "no_longer_known",
-        RefusalReason::InProgress => "in_progress",
-        RefusalReason::EarlierAttemptUnknown => "earlier_attempt_unknown",
-    }
-}
--- a/crates/papayastack/src/observe/tests.rs
+++ b/crates/papayastack/src/observe/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of spans, logs and metrics.
 
+use std::collections::BTreeSet;
+use std::path::Path;
 use std::time::Duration;
 
 use log4rs::encode::Encode;
@@ -78,17 +80,7 @@
 
 #[test]
 fn labels_match_the_names_on_the_wire() {
-    let outcomes = [
-        QueryOutcome::Found,
-        QueryOutcome::FoundPartial,
-        QueryOutcome::NoneFound,
-        QueryOutcome::Inconclusive,
-        QueryOutcome::NotRun,
-        QueryOutcome::OutcomeUnknown,
-        QueryOutcome::Cancelled,
-    ];
-
-    for outcome in outcomes {
+    for outcome in QueryOutcome::ALL {
         assert_eq!(serde_json::to_value(outcome).unwrap(), outcome.name());
     }
 }
@@ -129,3 +121,23 @@
     let text = String::from_utf8(line.0).unwrap();
     assert!(text.ends_with("Z INFO  papaya::link: Link ended.\n"), "{text}");
 }
+
+#[test]
+fn each_metric_is_documented_and_no_other() {
+    let page = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/METRICS.md");
+    let page = std::fs::read_to_string(page).unwrap();
+    let metrics = Metrics::new().encode();
+
+    let types = metrics.lines().filter_map(|line| line.strip_prefix("# TYPE "));
+    let registered: BTreeSet<&str> = types
+        .filter_map(|line| line.split_once(' '))
+        .map(|(name, kind)| if kind == "info" { "papaya_build_info" } else { name })
+        .collect();
+    let rows = page.lines().filter_map(|line| line.strip_prefix("| `papaya_"));
+    let documented: BTreeSet<String> = rows
+        .filter_map(|row| row.split('`').next())
+        .map(|name| format!("papaya_{}", name.trim_end_matches("_total")))
+        .collect();
+
+    assert_eq!(documented, registered.into_iter().map(str::to_owned).collect());
+}
