--- a/crates/papayastack/src/lib.rs
+++ b/crates/papayastack/src/lib.rs
@@ -11,6 +11,7 @@
 //! | `catalogue` | snapshots and shard maps |
 //! | `configuration` | the accepted bundle and what is in force |
 //! | `membership` | which VMs are live |
+//! | `addresses` | addresses for callers, and how a VM leaves |
 //! | `routing` | owners of upstreams, the directory that a query pins |
 //! | `admission` | how many queries run at once |
 //! | `query` | the decisions of a fan-out |
@@ -21,8 +22,10 @@
 //! | `upstream` | the upstreams' protocol and client |
 //! | `caller` | the callers' protocol and HTTP server |
 //! | `observe` | trace contexts, spans, logs, metrics |
+//! | `submission` | submissions that run at most once |
 //! | `operator` | the operators' HTTP server |
 
+mod addresses;
 mod admission;
 mod caller;
 mod catalogue;
@@ -39,9 +42,11 @@
 mod routing;
 mod seal;
 mod settings;
+mod submission;
 mod upstream;
 mod vm;
 
+pub use addresses::*;
 pub use admission::*;
 pub use caller::*;
 pub use catalogue::*;
@@ -58,5 +63,6 @@
 pub use routing::*;
 pub use seal::*;
 pub use settings::*;
+pub use submission::*;
 pub use upstream::*;
 pub use vm::*;
--- a/crates/papayastack/src/vm/shared.rs
+++ b/crates/papayastack/src/vm/shared.rs
@@ -4,40 +4,82 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
+use papayastack_macros::message;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 
 use super::desk::UpstreamDesk;
 use super::pending::PendingQueries;
+use super::submit::Relays;
 use crate::admission::Admission;
-use crate::configuration::InForce;
+use crate::configuration::{ConfigurationMessage, InForce};
 use crate::ids::{ServiceName, VmAddress};
 use crate::link::LinkHub;
-use crate::membership::MemberView;
+use crate::membership::{MemberView, VmIdentity};
+use crate::observe::{Metrics, Tracer};
 use crate::query::{Budgets, FanoutContext, Observations, QuantileTracker};
 use crate::routing::Directory;
 use crate::settings::QueryClass;
+use crate::submission::SubmissionDesk;
 
 /// The parts of one VM that requests pass through.
 pub(crate) struct Shared {
     pub(crate) address: VmAddress,
+    pub(crate) identity: VmIdentity,
+    pub(crate) leaving: watch::Sender<bool>,
     pub(crate) in_force: watch::Receiver<Option<Arc<InForce>>>,
     pub(crate) members: watch::Receiver<Arc<MemberView>>,
     pub(crate) directory: watch::Receiver<Arc<Directory>>,
     pub(crate) hub: LinkHub,
     pub(crate) desk: UpstreamDesk,
     pub(crate) pending: Arc<PendingQueries>,
+    pub(crate) submissions: SubmissionDesk,
+    pub(crate) relays: Relays,
+    pub(crate) configuration_inbound: mpsc::Sender<(VmAddress, ConfigurationMessage)>,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) tracer: Arc<Tracer>,
     pub(crate) decisions: Mutex<Decisions>,
 }
 
 impl Shared {
+    /// Returns how much work the VM holds.
+    pub(crate) fn counts(&self) -> VmCounts {
+        let desk = self.desk.counts();
+        let (links_dialled, links_accepted) = self.hub.link_counts();
+        VmCounts {
+            queries: self.pending.len(),
+            sub_requests_waiting: desk.waiting,
+            sub_requests_running: desk.running,
+            replies_dropped: self.pending.dropped(),
+            links_dialled,
+            links_accepted,
+        }
+    }
+
     /// Locks the state that decisions share.
     pub(crate) fn decisions(&self) -> MutexGuard<'_, Decisions> {
         lock(&self.decisions)
     }
 }
 
+/// How much work a VM holds at one moment.
+#[message]
+pub struct VmCounts {
+    /// Callers' queries in flight.
+    pub queries: usize,
+    /// Sub-requests that wait for a slot here.
+    pub sub_requests_waiting: usize,
+    /// Sub-requests that hold a slot here.
+    pub sub_requests_running: usize,
+    /// Replies that came for queries that no longer waited.
+    pub replies_dropped: u64,
+    /// Links that this VM dialled.
+    pub links_dialled: usize,
+    /// Links that this VM accepted.
+    pub links_accepted: usize,
+}
+
 /// The state that the decisions of all queries share.
 pub(crate) struct Decisions {
     pub(crate) admission: Admission,
