--- a/crates/papayastack-standin/src/upstream/state.rs
+++ b/crates/papayastack-standin/src/upstream/state.rs
@@ -241,7 +241,7 @@
         self.lock().executions.clone()
     }
 
-    /// Keeps a reply and returns the one kept before.
+    /// Keeps a found reply and returns the one kept before.
     pub(crate) fn exchange_reply(&self, reply: &SearchReply) -> Option<SearchReply> {
         self.lock().earlier_reply.replace(reply.clone())
     }
