Check, show and apply configurations with papayactl

An apply always writes conditionally, also where the platform seems to hold the same: a lagging replica could answer the read, and the claim would be false. For the same reason a version below the expected one is read again rather than taken for a race.

The status of a VM is the typed VmStatus with what else it counts.

--- a/crates/papayastack-control/src/commands/apply.rs
+++ b/crates/papayastack-control/src/commands/apply.rs
@@ -87,9 +87,7 @@
 
 fn exit_of(outcome: &ApplyOutcome) -> Exit {
     match outcome {
-        ApplyOutcome::Applied { .. }
-        | ApplyOutcome::Replaced { .. }
-        | ApplyOutcome::Unchanged { .. } => Exit::Success,
+        ApplyOutcome::Applied { .. } | ApplyOutcome::Replaced { .. } => Exit::Success,
         ApplyOutcome::Raced(_) => Exit::Raced,
         ApplyOutcome::NotApplied { .. } => Exit::Failed,
         ApplyOutcome::Unknown { .. } => Exit::Unknown,
@@ -99,9 +97,9 @@
 /// Returns the version that holds the operator's change.
 fn version_in_force(outcome: &ApplyOutcome) -> Option<u64> {
     match outcome {
-        ApplyOutcome::Applied { version }
-        | ApplyOutcome::Replaced { version, .. }
-        | ApplyOutcome::Unchanged { version } => Some(*version),
+        ApplyOutcome::Applied { version } | ApplyOutcome::Replaced { version, .. } => {
+            Some(*version)
+        }
         _ => None,
     }
 }
@@ -144,9 +142,6 @@
             "Change {change_id} was applied, and change {other} has replaced it by version \
              {version}."
         ),
-        ApplyOutcome::Unchanged { version } => {
-            println!("Version {version} holds the same; nothing was written.");
-        }
         ApplyOutcome::Raced(race) => {
             println!(
                 "Not applied: change {} made version {} first. Fetch it and decide again.",
--- a/crates/papayastack-control/src/commands/files.rs
+++ b/crates/papayastack-control/src/commands/files.rs
@@ -1,11 +1,12 @@
 //! The commands that work on files alone.
 
 use json_patch::{Patch, PatchOperation};
-use papayastack::{render, render_document};
-use serde_json::Value;
+use papayastack::render;
+use serde_json::{Value, json};
 
 use super::{print_complaints, print_json};
 use crate::Exit;
+use crate::complaint::Complaint;
 use crate::source::{Loaded, Source};
 
 /// Checks the base by itself and with every overlay.
@@ -32,17 +33,12 @@
         Ok(loaded) => loaded,
         Err(complaints) => return print_complaints(&complaints, json),
     };
-    note_missing_overlay(&loaded, site);
-    match render(&loaded.bundle, site) {
+    match settings_of(&loaded, site) {
         Ok(settings) => {
             print_json(&settings);
             Exit::Success
         }
-        Err(faults) => {
-            let complaints: Vec<_> =
-                faults.into_iter().map(|fault| loaded.complain(fault)).collect();
-            print_complaints(&complaints, json)
-        }
+        Err(complaints) => print_complaints(&complaints, json),
     }
 }
 
@@ -52,33 +48,32 @@
         Ok(loaded) => loaded,
         Err(complaints) => return print_complaints(&complaints, json),
     };
-    for site in [left, right] {
-        note_missing_overlay(&loaded, site);
+    match (settings_of(&loaded, left), settings_of(&loaded, right)) {
+        (Ok(left), Ok(right)) => {
+            print_difference(&left, &right, json);
+            Exit::Success
+        }
+        (left, right) => print_all_complaints([left.err(), right.err()], json),
     }
-    let (left, right) =
-        (render_document(&loaded.bundle, left), render_document(&loaded.bundle, right));
-    print_difference(&left, &right, json);
-    Exit::Success
 }
 
 /// Prints what differs between two configurations, as a whole or at one site.
 pub(crate) fn diff_sources(left: &Source, right: &Source, site: Option<&str>, json: bool) -> Exit {
     let (left, right) = match (left.load(), right.load()) {
         (Ok(left), Ok(right)) => (left, right),
-        (left, right) => {
-            let complaints = [left.err(), right.err()].into_iter().flatten().flatten();
-            return print_complaints(&complaints.collect::<Vec<_>>(), json);
-        }
+        (left, right) => return print_all_complaints([left.err(), right.err()], json),
     };
     let document = |loaded: &Loaded| match site {
-        Some(site) => {
-            note_missing_overlay(loaded, site);
-            render_document(&loaded.bundle, site)
-        }
-        None => loaded.bundle.content(),
+        Some(site) => settings_of(loaded, site),
+        None => Ok(loaded.bundle.content()),
     };
-    print_difference(&document(&left), &document(&right), json);
-    Exit::Success
+    match (document(&left), document(&right)) {
+        (Ok(left), Ok(right)) => {
+            print_difference(&left, &right, json);
+            Exit::Success
+        }
+        (left, right) => print_all_complaints([left.err(), right.err()], json),
+    }
 }
 
 /// Prints the changes that lead from one document to another.
@@ -96,6 +91,20 @@
     }
 }
 
+/// Renders the settings of a site with all defaults.
+fn settings_of(loaded: &Loaded, site: &str) -> Result<Value, Vec<Complaint>> {
+    note_missing_overlay(loaded, site);
+    match render(&loaded.bundle, site) {
+        Ok(settings) => Ok(json!(settings)),
+        Err(faults) => Err(faults.into_iter().map(|fault| loaded.complain(fault)).collect()),
+    }
+}
+
+fn print_all_complaints(complaints: [Option<Vec<Complaint>>; 2], json: bool) -> Exit {
+    let complaints: Vec<Complaint> = complaints.into_iter().flatten().flatten().collect();
+    print_complaints(&complaints, json)
+}
+
 fn print_difference(left: &Value, right: &Value, json: bool) {
     let changes = json_patch::diff(left, right);
     if json {
--- a/crates/papayastack-control/src/options.rs
+++ b/crates/papayastack-control/src/options.rs
@@ -153,17 +153,16 @@
 
 impl Options {
     fn read(mut arguments: Arguments) -> Result<Self, String> {
-        let text = |error: pico_args::Error| error.to_string();
         let options = Self {
-            base: arguments.opt_value_from_os_str("--base", to_path).map_err(text)?,
-            overlays: arguments.values_from_fn("--overlay", to_overlay).map_err(text)?,
-            sites: arguments.values_from_str("--site").map_err(text)?,
-            platform: arguments.values_from_str("--platform").map_err(text)?,
-            operators: arguments.values_from_str("--operator").map_err(text)?,
-            expected_version: arguments.opt_value_from_str("--expect-version").map_err(text)?,
-            change_id: arguments.opt_value_from_str("--change-id").map_err(text)?,
+            base: named("--base", arguments.opt_value_from_os_str("--base", to_path))?,
+            overlays: named("--overlay", arguments.values_from_fn("--overlay", to_overlay))?,
+            sites: named("--site", arguments.values_from_str("--site"))?,
+            platform: named("--platform", arguments.values_from_str("--platform"))?,
+            operators: named("--operator", arguments.values_from_str("--operator"))?,
+            expected_version: optional(&mut arguments, "--expect-version")?,
+            change_id: optional(&mut arguments, "--change-id")?,
             wait: arguments.contains("--wait"),
-            timeout_ms: arguments.opt_value_from_str("--timeout-ms").map_err(text)?,
+            timeout_ms: optional(&mut arguments, "--timeout-ms")?,
             paths: Vec::new(),
         };
         let rest = arguments.finish();
@@ -289,6 +288,17 @@
     }
 }
 
+fn named<T>(option: &str, value: Result<T, pico_args::Error>) -> Result<T, String> {
+    value.map_err(|error| format!("{option}: {error}"))
+}
+
+fn optional<T: std::str::FromStr<Err: std::fmt::Display>>(
+    arguments: &mut Arguments,
+    option: &'static str,
+) -> Result<Option<T>, String> {
+    named(option, arguments.opt_value_from_str(option))
+}
+
 fn to_path(text: &std::ffi::OsStr) -> Result<PathBuf, String> {
     Ok(PathBuf::from(text))
 }
--- a/crates/papayastack/src/configuration/apply.rs
+++ b/crates/papayastack/src/configuration/apply.rs
@@ -72,11 +72,6 @@
         /// The change that made it.
         change_id: String,
     },
-    /// The platform holds the same base and overlays; nothing was written.
-    Unchanged {
-        /// The version now.
-        version: ObjectVersion,
-    },
     /// Somebody else changed the bundle first; nothing was written.
     Raced(RaceReport),
     /// Nothing was written.
@@ -111,6 +106,7 @@
     base: Option<BaseObject>,
     step: Step,
     answer_lost: bool,
+    conflicted: bool,
     calls: u32,
     pauses: u32,
     random: SmallRng,
@@ -138,6 +134,7 @@
             base: None,
             step: Step::ReadFirst,
             answer_lost: false,
+            conflicted: false,
             calls: 0,
             pauses: 0,
             random: SmallRng::seed_from_u64(seed),
@@ -193,11 +190,15 @@
         if let Some(outcome) = self.found(&object, current.as_ref()) {
             return ApplyOutput::End(outcome);
         }
-        if self.request.expected_version.is_some_and(|version| version != object.version) {
-            return ApplyOutput::End(self.raced(&object));
-        }
-        if current.as_ref().is_some_and(|current| current.same_content(&self.request.bundle)) {
-            return ApplyOutput::End(ApplyOutcome::Unchanged { version: object.version });
+        match self.request.expected_version {
+            Some(version) if version < object.version => {
+                return ApplyOutput::End(self.raced(&object));
+            }
+            // A replica that lags shows less than what the operator has read.
+            Some(version) if version > object.version => {
+                return self.try_again(&PlatformError::Conflict);
+            }
+            _ => {}
         }
         self.base = Some(BaseObject { version: object.version, bundle: current });
         self.go_on(Step::Update)
@@ -206,7 +207,10 @@
     fn on_updated(&mut self, answer: Result<ObjectVersion, PlatformError>) -> ApplyOutput {
         match answer {
             Ok(version) => ApplyOutput::End(ApplyOutcome::Applied { version }),
-            Err(PlatformError::Conflict) => self.go_on(Step::ReadBack),
+            Err(PlatformError::Conflict) => {
+                self.conflicted = true;
+                self.go_on(Step::ReadBack)
+            }
             Err(PlatformError::AnswerLost) => {
                 self.answer_lost = true;
                 self.step = Step::ReadBack;
@@ -223,7 +227,12 @@
         let object = match answer {
             Ok(object) => object,
             // Nothing is there, as the update requires: it has not taken effect yet.
-            Err(PlatformError::NotFound) if self.base.is_none() => return self.go_on(Step::Update),
+            Err(PlatformError::NotFound) if self.base.is_none() && !self.conflicted => {
+                return self.go_on(Step::Update);
+            }
+            Err(error @ PlatformError::NotFound) if self.conflicted => {
+                return self.try_again(&error);
+            }
             Err(error @ PlatformError::NotFound) => return self.give_up(&error),
             Err(error) => return self.try_again(&error),
         };
@@ -231,7 +240,12 @@
         if let Some(outcome) = self.found(&object, current.as_ref()) {
             return ApplyOutput::End(outcome);
         }
-        if self.base.as_ref().is_some_and(|base| base.version == object.version) {
+        let base_version = self.base.as_ref().map_or(0, |base| base.version);
+        if object.version < base_version || (self.conflicted && object.version == base_version) {
+            // A replica that lags: the object was later than this already.
+            return self.try_again(&PlatformError::Conflict);
+        }
+        if object.version == base_version {
             // The same condition makes a repeated update take effect once at most.
             return self.go_on(Step::Update);
         }
--- a/crates/papayastack/src/configuration/bundle.rs
+++ b/crates/papayastack/src/configuration/bundle.rs
@@ -34,11 +34,6 @@
 }
 
 impl Bundle {
-    /// Returns whether both hold the same base and overlays, whoever wrote them.
-    pub fn same_content(&self, other: &Self) -> bool {
-        self.base == other.base && self.overlays == other.overlays
-    }
-
     /// Returns what a reader sees: base and overlays without the record of changes.
     pub fn content(&self) -> serde_json::Value {
         serde_json::json!({ "base": self.base, "overlays": self.overlays })
--- a/crates/papayastack/src/configuration/tests/apply.rs
+++ b/crates/papayastack/src/configuration/tests/apply.rs
@@ -19,6 +19,8 @@
     LostLate,
     Unavailable,
     RateLimited,
+    /// A replica that lags answers the read.
+    Stale,
     /// Another operator changes the bundle before the call.
     Race,
 }
@@ -26,6 +28,7 @@
 #[derive(Default)]
 struct FakePlatform {
     object: Option<Object>,
+    replica: Option<Object>,
     history: Vec<String>,
     late: VecDeque<(u32, Precondition, Bundle)>,
     faults: VecDeque<Fault>,
@@ -54,7 +57,7 @@
         }
         let next = version.unwrap_or(0) + 1;
         let value = serde_json::to_value(bundle).unwrap();
-        self.object = Some(Object { version: next, value });
+        self.replica = self.object.replace(Object { version: next, value });
         self.history.push(bundle.change_id.clone());
         Ok(next)
     }
@@ -88,6 +91,7 @@
     fn read(&mut self) -> Result<Object, PlatformError> {
         match self.next_fault() {
             Fault::None | Fault::Race => self.object.clone().ok_or(PlatformError::NotFound),
+            Fault::Stale => self.replica.clone().ok_or(PlatformError::NotFound),
             Fault::LostBefore | Fault::LostAfter | Fault::LostLate => {
                 Err(PlatformError::AnswerLost)
             }
@@ -104,7 +108,7 @@
         bundle: Bundle,
     ) -> Result<ObjectVersion, PlatformError> {
         match self.next_fault() {
-            Fault::None | Fault::Race => self.write(&precondition, &bundle),
+            Fault::None | Fault::Race | Fault::Stale => self.write(&precondition, &bundle),
             Fault::LostBefore => Err(PlatformError::AnswerLost),
             Fault::LostAfter => {
                 let _ = self.write(&precondition, &bundle);
@@ -210,6 +214,16 @@
     assert_eq!(outcome, ApplyOutcome::Replaced { version: 3, change_id });
 }
 
+#[test]
+fn a_lagging_replica_is_not_taken_for_a_race() {
+    let mut platform = FakePlatform::with_faults(&[Fault::Race, Fault::Stale]);
+    platform.read().unwrap();
+
+    let outcome = apply(&mut platform, Some(2));
+
+    assert_eq!(outcome, ApplyOutcome::Applied { version: 3 });
+}
+
 #[test]
 fn a_race_is_refused_with_the_difference_to_the_other_change() {
     let mut platform = FakePlatform::with_faults(&[Fault::None, Fault::Race]);
@@ -289,6 +303,7 @@
         1 => Just(Fault::Unavailable),
         1 => Just(Fault::RateLimited),
         1 => Just(Fault::Race),
+        2 => Just(Fault::Stale),
     ]
 }
 
@@ -320,9 +335,7 @@
                 prop_assert_eq!(&platform.history[version as usize - 1], "own");
             }
             ApplyOutcome::Replaced { .. } => prop_assert_eq!(at_end, 1),
-            ApplyOutcome::Unchanged { .. }
-            | ApplyOutcome::Raced(_)
-            | ApplyOutcome::NotApplied { .. } => prop_assert_eq!(platform.count("own"), 0),
+            ApplyOutcome::Raced(_) | ApplyOutcome::NotApplied { .. } => prop_assert_eq!(platform.count("own"), 0),
             ApplyOutcome::Unknown { .. } => {}
         }
     }
--- a/crates/papayastack/src/settings/mod.rs
+++ b/crates/papayastack/src/settings/mod.rs
@@ -19,7 +19,7 @@
 pub use local::LocalSettings;
 pub use nearest::nearest_name;
 pub use reference_page::settings_reference;
-pub use render::{check, render, render_document};
+pub use render::{check, render};
 pub use schema::{
     AddressSettings, ClassSettings, DataCentreSettings, LimitSettings, MembershipSettings,
     PlatformSettings, QueryClass, RoutingPolicy, RoutingSettings, ServiceSettings, Settings,
--- a/crates/papayastack/src/settings/nearest.rs
+++ b/crates/papayastack/src/settings/nearest.rs
@@ -5,7 +5,7 @@
     name: &str,
     candidates: impl IntoIterator<Item = &'a str>,
 ) -> Option<&'a str> {
-    let edits_max = (name.chars().count() / 3).max(1);
+    let edits_max = (name.chars().count() / 3).max(2);
     candidates
         .into_iter()
         .map(|candidate| (edit_distance(name, candidate), candidate))
--- a/crates/papayastack/src/settings/overlay.rs
+++ b/crates/papayastack/src/settings/overlay.rs
@@ -1,9 +1,18 @@
 //! Checks that an overlay changes something, and only what differs.
 
-use serde_json::Value;
+use serde_json::{Map, Value};
 
 use super::fault::Finding;
+use super::nearest::nearest_name;
 use super::pointer;
+use super::reference::setting_at;
+
+/// What must be given with something that the base does not hold.
+const REQUIRED_MEMBERS: [(&str, &[&str]); 3] = [
+    ("/data_centres/*", &["region"]),
+    ("/services/*", &["slots_per_upstream", "connections_per_upstream", "upstreams"]),
+    ("/services/*/upstreams/*", &["data_centre", "address"]),
+];
 
 /// Finds members of a merge patch that change nothing in `base`.
 pub(crate) fn check_overlay(base: &Value, overlay: &Value) -> Vec<Finding> {
@@ -44,7 +53,11 @@
                 findings.push(unchanged(path));
             }
             for (key, member) in members {
-                visit(known.get(key), member, &pointer::child(path, key), findings);
+                let path = pointer::child(path, key);
+                match known.get(key) {
+                    None if is_incomplete(member, &path) => findings.push(absent(key, known, path)),
+                    known => visit(known, member, &path, findings),
+                }
             }
         }
         (Some(known), member) if known == member => findings.push(unchanged(path)),
@@ -52,6 +65,27 @@
     }
 }
 
+/// Returns whether `member` changes something that the base should hold, rather than adding it.
+fn is_incomplete(member: &Value, path: &str) -> bool {
+    let required = REQUIRED_MEMBERS
+        .iter()
+        .find(|(pattern, _)| setting_at(path).is_some_and(|setting| setting.path == *pattern));
+    match (required, member) {
+        (Some((_, names)), Value::Object(members)) => {
+            names.iter().any(|name| !members.contains_key(*name))
+        }
+        _ => false,
+    }
+}
+
+fn absent(key: &str, known: &Map<String, Value>, path: String) -> Finding {
+    let hint = match nearest_name(key, known.keys().map(String::as_str)) {
+        Some(nearest) => format!("did you mean `{nearest}`? to add it here, write it whole"),
+        None => "correct the name, or write it whole to add it here".to_owned(),
+    };
+    Finding::new(path, format!("the base has no `{key}`"), hint)
+}
+
 fn unchanged(path: &str) -> Finding {
     let hint = "remove it from the overlay, which holds only what differs";
     Finding::new(path, "the overlay repeats the base", hint)
--- a/crates/papayastack/src/settings/parse.rs
+++ b/crates/papayastack/src/settings/parse.rs
@@ -85,8 +85,10 @@
         return missing(pointer::child(&path, field));
     }
     match setting_at(&path) {
-        Some(setting) => Finding::new(path, message, format!("write {}", setting.expectation())),
-        None => unknown(path),
+        Some(setting) if !message.starts_with("unknown field") => {
+            Finding::new(path, message, format!("write {}", setting.expectation()))
+        }
+        _ => unknown(path),
     }
 }
 
--- a/crates/papayastack/src/settings/render.rs
+++ b/crates/papayastack/src/settings/render.rs
@@ -8,6 +8,7 @@
 use super::fault::{Fault, Finding, SettingsFile};
 use super::overlay::{check_overlay, touches};
 use super::parse::parse;
+use super::pointer;
 use super::schema::Settings;
 use crate::configuration::Bundle;
 use crate::ids::SiteName;
@@ -18,13 +19,10 @@
 pub fn render(bundle: &Bundle, site: &str) -> Result<Settings, Vec<Fault>> {
     let overlay = bundle.overlays.get_key_value(site);
     let merged = merge(&bundle.base, overlay.map(|(_, overlay)| overlay));
-    settings_of(&merged)
-        .map_err(|findings| findings.into_iter().map(|finding| blame(finding, overlay)).collect())
-}
-
-/// Merges the base and the overlay of `site` without checking the result.
-pub fn render_document(bundle: &Bundle, site: &str) -> Value {
-    merge(&bundle.base, bundle.overlays.get(site))
+    settings_of(&merged).map_err(|findings| {
+        let blamed = findings.into_iter().map(|finding| blame(finding, &bundle.base, overlay));
+        blamed.collect()
+    })
 }
 
 /// Checks the base by itself and with each overlay; an empty list means that all is right.
@@ -32,7 +30,7 @@
     let base = settings_of(&bundle.base);
     let mut faults = BTreeSet::new();
     if let Err(findings) = &base {
-        faults.extend(findings.iter().cloned().map(|finding| blame(finding, None)));
+        faults.extend(findings.iter().cloned().map(|finding| blame(finding, &bundle.base, None)));
     }
     for overlay in &bundle.overlays {
         faults.extend(overlay_faults(&bundle.base, overlay));
@@ -46,16 +44,20 @@
         let finding = Finding::new("", "the site's name is empty", "name the site");
         return vec![finding.in_file(file)];
     }
-    let mut faults: Vec<Fault> = check_overlay(base, overlay)
-        .into_iter()
-        .map(|finding| finding.in_file(file.clone()))
-        .collect();
+    let findings = check_overlay(base, overlay);
+    let incomplete = findings.clone();
+    let is_known = |fault: &Fault| {
+        incomplete.iter().any(|known| fault.path.starts_with(&format!("{}/", known.path)))
+    };
+    let mut faults: Vec<Fault> =
+        findings.into_iter().map(|finding| finding.in_file(file.clone())).collect();
     if !overlay.is_object() {
         return faults;
     }
     if let Err(findings) = settings_of(&merge(base, Some(overlay))) {
-        let findings = findings.into_iter().map(|finding| blame(finding, Some((site, overlay))));
-        faults.extend(findings);
+        let overlay = Some((site, overlay));
+        let merged = findings.into_iter().map(|finding| blame(finding, base, overlay));
+        faults.extend(merged.filter(|fault| !is_known(fault)));
     }
     faults
 }
@@ -72,7 +74,9 @@
     let mut findings = check_ranges(document);
     match parse(document) {
         Ok(settings) => {
-            findings.extend(check_relations(&settings));
+            let mut relations = check_relations(&settings);
+            relations.retain(|finding| findings.iter().all(|other| other.path != finding.path));
+            findings.extend(relations);
             if findings.is_empty() { Ok(settings) } else { Err(findings) }
         }
         Err(more) => {
@@ -84,9 +88,11 @@
 }
 
 /// Attributes a fault of the merged settings to the file that causes it.
-fn blame(finding: Finding, overlay: Option<(&SiteName, &Value)>) -> Fault {
+fn blame(finding: Finding, base: &Value, overlay: Option<(&SiteName, &Value)>) -> Fault {
+    let parent = pointer::split_last(&finding.path).map_or("", |(parent, _)| parent);
+    let from_base = base.pointer(parent).is_some();
     let file = match overlay {
-        Some((site, overlay)) if touches(overlay, &finding.path) => {
+        Some((site, overlay)) if !from_base || touches(overlay, &finding.path) => {
             SettingsFile::Overlay(site.clone())
         }
         _ => SettingsFile::Base,
--- a/crates/papayastack/src/vm/service.rs
+++ b/crates/papayastack/src/vm/service.rs
@@ -13,7 +13,9 @@
     AddressesAnswer, CallerService, QueryAnswer, QueryRequest, RefusalAnswer, RequestContext,
     SubmissionAnswer, SubmissionRequest,
 };
+use crate::configuration::VmStatus;
 use crate::ids::DataCentreName;
+use crate::membership::{Member, MemberView};
 use crate::observe::{DispatchLevels, SubmissionOutcome};
 use crate::operator::{OperatorService, Readiness};
 use crate::outcome::{Custody, RefusalReason};
@@ -109,15 +111,13 @@
     }
 
     async fn status(&self) -> serde_json::Value {
-        let shared = &self.shared;
-        let view = Arc::clone(&shared.members.borrow());
-        json!({
-            "identity": shared.identity,
-            "state": view.members.get(&shared.identity.address).map(|own| own.state),
-            "configuration_version": shared.configuration_version(),
-            "members": view.members.values().collect::<Vec<_>>(),
-            "counts": shared.counts(),
-        })
+        let view = Arc::clone(&self.shared.members.borrow());
+        let Some(own) = view.members.get(&self.shared.identity.address) else {
+            return json!({ "counts": self.shared.counts() });
+        };
+        let mut status = json!(self.shared.vm_status(own, &view));
+        status["counts"] = json!(self.shared.counts());
+        status
     }
 
     fn readiness(&self) -> Readiness {
@@ -136,6 +136,24 @@
 }
 
 impl Shared {
+    fn vm_status(&self, own: &Member, view: &MemberView) -> VmStatus {
+        let in_force = self.in_force.borrow().clone();
+        let catalogues = in_force.iter().flat_map(|current| &current.catalogues);
+        let snapshots = catalogues
+            .filter_map(|(service, catalogue)| Some((service.clone(), catalogue.newest()?.0)));
+        VmStatus {
+            identity: self.identity.clone(),
+            site: self.site.clone(),
+            data_centre: own.data_centre.clone(),
+            caller_address: own.caller_address,
+            state: own.state,
+            configuration_version: self.configuration_version(),
+            snapshots: snapshots.collect(),
+            refused: self.configuration_status.borrow().refused.clone(),
+            members: view.members.values().cloned().collect(),
+        }
+    }
+
     /// Returns the version of the configuration in force; zero before the first.
     pub(crate) fn configuration_version(&self) -> u64 {
         self.in_force.borrow().as_ref().map_or(0, |current| current.configuration_version)
--- a/crates/papayastack/src/vm/shared.rs
+++ b/crates/papayastack/src/vm/shared.rs
@@ -13,8 +13,8 @@
 use super::pending::PendingQueries;
 use super::submit::Relays;
 use crate::admission::Admission;
-use crate::configuration::{ConfigurationMessage, InForce};
-use crate::ids::{ServiceName, VmAddress};
+use crate::configuration::{ConfigurationMessage, ConfigurationStatus, InForce};
+use crate::ids::{ServiceName, SiteName, VmAddress};
 use crate::link::LinkHub;
 use crate::membership::{MemberView, VmIdentity};
 use crate::observe::{Metrics, Tracer};
@@ -27,6 +27,7 @@
 pub(crate) struct Shared {
     pub(crate) address: VmAddress,
     pub(crate) identity: VmIdentity,
+    pub(crate) site: SiteName,
     pub(crate) leaving: watch::Sender<bool>,
     pub(crate) in_force: watch::Receiver<Option<Arc<InForce>>>,
     pub(crate) members: watch::Receiver<Arc<MemberView>>,
@@ -36,6 +37,7 @@
     pub(crate) pending: Arc<PendingQueries>,
     pub(crate) submissions: SubmissionDesk,
     pub(crate) relays: Relays,
+    pub(crate) configuration_status: watch::Receiver<ConfigurationStatus>,
     pub(crate) configuration_inbound: mpsc::Sender<(VmAddress, ConfigurationMessage)>,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) tracer: Arc<Tracer>,
--- a/crates/papayastack/src/vm/start.rs
+++ b/crates/papayastack/src/vm/start.rs
@@ -127,11 +127,13 @@
             leaving: watch::Sender::new(false),
             address: identity.address,
             identity,
+            site: local.site.clone(),
             in_force,
             members,
             directory,
             hub: hub.clone(),
             pending,
+            configuration_status: configuration.status.clone(),
             configuration_inbound,
             metrics,
         });
