--- a/crates/papayastack/src/vm/start.rs
+++ b/crates/papayastack/src/vm/start.rs
@@ -136,7 +136,6 @@
             directory,
             hub: hub.clone(),
             pending,
-            configuration_status: configuration.status.clone(),
             configuration_inbound,
             metrics,
         });
