--- a/crates/papayastack/src/submission/driver.rs
+++ b/crates/papayastack/src/submission/driver.rs
@@ -30,7 +30,7 @@
 const LATE_OUTCOME_WAIT: Duration = Duration::from_secs(30);
 
 /// Returns a clock's unix milliseconds.
-pub(crate) type WallClock = Arc<dyn Fn() -> u64 + Send + Sync>;
+pub type WallClock = Arc<dyn Fn() -> u64 + Send + Sync>;
 
 /// The running desk of a VM, which runs submissions at most once.
 ///
@@ -64,7 +64,8 @@
         Self::spawn_with_clock(platform, settings, sender, Arc::new(system_unix_ms))
     }
 
-    pub(crate) fn spawn_with_clock(
+    /// Spawns the desk with another clock than the system's, for virtual time.
+    pub fn spawn_with_clock(
         platform: Arc<dyn Platform>,
         settings: SubmissionSettings,
         sender: Arc<dyn SubmissionSender>,
