Prefix log sentences by part, show the modules' records

Most parts start their sentences with their prefix, so the text format repeated it by printing the target too. Records without a target carry the module path papayastack::..., which no logger covered: "Version 5 is in force" never appeared. Seen in a run of four papayad by hand.

--- a/crates/papayastack/src/caller/client/handle.rs
+++ b/crates/papayastack/src/caller/client/handle.rs
@@ -208,7 +208,7 @@
 
     async fn refresh(&self) {
         if let Err(error) = self.ask_addresses().await {
-            log::debug!(target: "papaya::client", "Cannot refresh the addresses: {error}.");
+            log::debug!(target: "papaya::client", "client: Cannot refresh the addresses: {error}.");
         }
     }
 
--- a/crates/papayastack/src/listen/server.rs
+++ b/crates/papayastack/src/listen/server.rs
@@ -155,13 +155,13 @@
         let stream = match accepted {
             Ok((stream, _peer)) => stream,
             Err(error) => {
-                log::warn!(target: "papaya::listen", "Cannot accept a connection: {error}.");
+                log::warn!(target: "papaya::listen", "listen: Cannot accept a connection: {error}.");
                 tokio::time::sleep(ACCEPT_RETRY).await;
                 continue;
             }
         };
         let Ok(place) = Arc::clone(&places).try_acquire_owned() else {
-            log::warn!(target: "papaya::listen", "Closed a connection above {CONNECTIONS_MAX}.");
+            log::warn!(target: "papaya::listen", "listen: Closed a connection above {CONNECTIONS_MAX}.");
             continue;
         };
         let connection = serve_connection(stream, router.clone(), stopped.clone());
@@ -176,7 +176,7 @@
 
 async fn serve_connection(stream: TcpStream, router: Router, mut stopped: watch::Receiver<bool>) {
     if let Err(error) = stream.set_nodelay(true) {
-        log::debug!(target: "papaya::listen", "Cannot set TCP_NODELAY: {error}.");
+        log::debug!(target: "papaya::listen", "listen: Cannot set TCP_NODELAY: {error}.");
     }
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -191,7 +191,7 @@
         }
     };
     if let Err(error) = ended {
-        log::debug!(target: "papaya::listen", "A connection ended: {error}.");
+        log::debug!(target: "papaya::listen", "listen: A connection ended: {error}.");
     }
 }
 
--- a/crates/papayastack/src/observe/logs.rs
+++ b/crates/papayastack/src/observe/logs.rs
@@ -1,6 +1,7 @@
 //! Logs as structured lines through `log4rs`: records on standard error, spans on standard output.
 //!
-//! The target of a record, for example `papaya::link`, is the prefix of its part.
+//! A sentence starts with the fixed prefix of its part, for example `link:`; the record's target is
+//! `papaya::link`, so that levels can be set by part.
 
 use error_stack::{Report, ResultExt};
 use log::LevelFilter;
@@ -13,9 +14,11 @@
 
 use super::span::SPAN_TARGET;
 
-pub(super) const TEXT_PATTERN: &str = "{d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} {l:<5} {t}: {m}{n}";
+pub(super) const TEXT_PATTERN: &str = "{d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} {l:<5} {m}{n}";
 const SPAN_PATTERN: &str = "{m}{n}";
 const PARTS_TARGET: &str = "papaya";
+/// The target of records that name none: the module that wrote them.
+const MODULES_TARGET: &str = "papayastack";
 const RECORDS_APPENDER: &str = "records";
 const SPANS_APPENDER: &str = "spans";
 
@@ -95,6 +98,7 @@
         .appender(Appender::builder().build(RECORDS_APPENDER, Box::new(records.build())))
         .appender(Appender::builder().build(SPANS_APPENDER, Box::new(spans.build())))
         .logger(Logger::builder().build(PARTS_TARGET, level))
+        .logger(Logger::builder().build(MODULES_TARGET, level))
         .logger(
             Logger::builder()
                 .appender(SPANS_APPENDER)
--- a/crates/papayastack/src/observe/span.rs
+++ b/crates/papayastack/src/observe/span.rs
@@ -169,7 +169,9 @@
         let Some(record) = self.finish(outcome) else { return };
         match serde_json::to_string(&record) {
             Ok(line) => log::info!(target: SPAN_TARGET, "{line}"),
-            Err(error) => log::warn!(target: "papaya::observe", "Cannot write a span: {error}."),
+            Err(error) => {
+                log::warn!(target: "papaya::observe", "observe: Cannot write a span: {error}.")
+            }
         }
     }
 }
--- a/crates/papayastack/src/observe/tests.rs
+++ b/crates/papayastack/src/observe/tests.rs
@@ -94,32 +94,40 @@
     assert!(error.current_context().to_string().contains("`loud`"));
 }
 
+fn level_of(settings: &LogSettings, target: &str) -> log::LevelFilter {
+    let config = logs::log_config(settings).unwrap();
+    let mut loggers = config.loggers().iter();
+    loggers.find(|logger| logger.name() == target).unwrap().level()
+}
+
 #[test]
 fn spans_are_off_unless_asked_for() {
-    let level_of = |settings: &LogSettings| {
-        let config = logs::log_config(settings).unwrap();
-        let loggers = config.loggers().to_vec();
-        loggers.iter().find(|logger| logger.name() == SPAN_TARGET).unwrap().level()
-    };
-
-    assert_eq!(level_of(&LogSettings::default()), log::LevelFilter::Off);
-    assert_eq!(
-        level_of(&LogSettings { spans: true, ..LogSettings::default() }),
-        log::LevelFilter::Info
-    );
+    let quiet = LogSettings::default();
+    let asked_for = LogSettings { spans: true, ..LogSettings::default() };
+
+    assert_eq!(level_of(&quiet, SPAN_TARGET), log::LevelFilter::Off);
+    assert_eq!(level_of(&asked_for, SPAN_TARGET), log::LevelFilter::Info);
+}
+
+#[test]
+fn the_level_applies_to_parts_and_modules() {
+    let settings = LogSettings { level: "debug".to_owned(), ..LogSettings::default() };
+
+    assert_eq!(level_of(&settings, "papaya"), log::LevelFilter::Debug);
+    assert_eq!(level_of(&settings, "papayastack"), log::LevelFilter::Debug);
 }
 
 #[test]
 fn a_text_line_carries_the_part_as_prefix() {
     let mut line = log4rs::encode::writer::simple::SimpleWriter(Vec::new());
     let encoder = log4rs::encode::pattern::PatternEncoder::new(logs::TEXT_PATTERN);
-    let message = format_args!("Link ended.");
+    let message = format_args!("link: Link ended.");
 
     let record = log::Record::builder().target("papaya::link").args(message).build();
     encoder.encode(&mut line, &record).unwrap();
 
     let text = String::from_utf8(line.0).unwrap();
-    assert!(text.ends_with("Z INFO  papaya::link: Link ended.\n"), "{text}");
+    assert!(text.ends_with("Z INFO  link: Link ended.\n"), "{text}");
 }
 
 #[test]
