--- a/crates/papayastack/src/vm/service.rs
+++ b/crates/papayastack/src/vm/service.rs
@@ -15,9 +15,15 @@
     AddressesAnswer, CallerService, QueryAnswer, QueryRequest, RefusalAnswer, RequestContext,
     SubmissionAnswer, SubmissionRequest,
 };
+<<<<<<< HEAD
 use crate::configuration::{ConfigurationStatus, VmStatus};
 use crate::ids::DataCentreName;
 use crate::membership::MemberState;
+=======
+use crate::configuration::VmStatus;
+use crate::ids::DataCentreName;
+use crate::membership::{Member, MemberView};
+>>>>>>> settings
 use crate::observe::{DispatchLevels, SubmissionOutcome};
 use crate::operator::{OperatorService, Readiness};
 use crate::outcome::{Custody, RefusalReason};
@@ -119,8 +125,18 @@
     }
 
     async fn status(&self) -> serde_json::Value {
+<<<<<<< HEAD
         let status = self.shared.status(&self.configuration.borrow());
         serde_json::to_value(status).unwrap_or_default()
+=======
+        let view = Arc::clone(&self.shared.members.borrow());
+        let Some(own) = view.members.get(&self.shared.identity.address) else {
+            return json!({ "counts": self.shared.counts() });
+        };
+        let mut status = json!(self.shared.vm_status(own, &view));
+        status["counts"] = json!(self.shared.counts());
+        status
+>>>>>>> settings
     }
 
     fn readiness(&self) -> Readiness {
@@ -139,6 +155,24 @@
 }
 
 impl Shared {
+    fn vm_status(&self, own: &Member, view: &MemberView) -> VmStatus {
+        let in_force = self.in_force.borrow().clone();
+        let catalogues = in_force.iter().flat_map(|current| &current.catalogues);
+        let snapshots = catalogues
+            .filter_map(|(service, catalogue)| Some((service.clone(), catalogue.newest()?.0)));
+        VmStatus {
+            identity: self.identity.clone(),
+            site: self.site.clone(),
+            data_centre: own.data_centre.clone(),
+            caller_address: own.caller_address,
+            state: own.state,
+            configuration_version: self.configuration_version(),
+            snapshots: snapshots.collect(),
+            refused: self.configuration_status.borrow().refused.clone(),
+            members: view.members.values().cloned().collect(),
+        }
+    }
+
     /// Returns the version of the configuration in force; zero before the first.
     pub(crate) fn configuration_version(&self) -> u64 {
         self.in_force.borrow().as_ref().map_or(0, |current| current.configuration_version)
--- a/crates/papayastack/src/vm/start.rs
+++ b/crates/papayastack/src/vm/start.rs
@@ -131,11 +131,13 @@
             local: local.clone(),
             address: identity.address,
             identity,
+            site: local.site.clone(),
             in_force,
             members,
             directory,
             hub: hub.clone(),
             pending,
+            configuration_status: configuration.status.clone(),
             configuration_inbound,
             metrics,
         });
