--- a/crates/papayastack/src/vm/start.rs
+++ b/crates/papayastack/src/vm/start.rs
@@ -136,6 +136,7 @@
             directory,
             hub: hub.clone(),
             pending,
+            configuration_status: configuration.status.clone(),
             configuration_inbound,
             metrics,
         });
