--- a/crates/papayastack/src/caller/mod.rs
+++ b/crates/papayastack/src/caller/mod.rs
@@ -1,6 +1,7 @@
-//! The callers' interface: its messages and its HTTP server.
+//! The callers' interface: its messages, its HTTP server and the callers' library.
 
 mod check;
+mod client;
 mod context;
 mod protocol;
 mod reply;
@@ -10,9 +11,10 @@
 #[cfg(test)]
 mod tests;
 
+pub use client::{CallContext, CallError, CallerClient, new_submission_key};
 pub use context::REQUEST_ID_HEADER;
 pub use protocol::{
     AddressesAnswer, QueryAnswer, QueryRequest, RefusalAnswer, SubmissionAnswer, SubmissionRequest,
 };
-pub use server::{ADDRESSES_PATH, BindError, CallerServer, QUERY_PATH, SUBMISSIONS_PATH};
+pub use server::{ADDRESSES_PATH, CallerServer, QUERY_PATH, SUBMISSIONS_PATH};
 pub use service::{CallerService, RequestContext};
--- /dev/null
+++ b/crates/papayastack/src/configuration/tests/mod.rs
@@ -0,0 +1,9 @@
+//! Tests of the configuration.
+
+mod adoption;
+mod apply;
+mod driver;
+mod fleet;
+mod gossip;
+mod rollout;
+mod store;
--- a/crates/papayastack/src/lib.rs
+++ b/crates/papayastack/src/lib.rs
@@ -17,11 +17,14 @@
 //! | `query` | the decisions of a fan-out |
 //! | `dispatch` | queue and slots in front of an upstream |
 //! | `link` | connections between VMs |
+//! | `listen` | HTTP connections with bounds |
 //! | `vm` | one VM, wired together |
 //! | `seal` | keys, sealed datagrams and authenticated links between VMs |
 //! | `upstream` | the upstreams' protocol and client |
 //! | `caller` | the callers' protocol and HTTP server |
 //! | `observe` | trace contexts, spans, logs, metrics |
+//! | `submission` | submissions that run at most once |
+//! | `operator` | the operators' HTTP server |
 
 mod addresses;
 mod admission;
@@ -31,14 +34,17 @@
 mod dispatch;
 mod ids;
 mod link;
+mod listen;
 mod membership;
 mod observe;
+mod operator;
 mod outcome;
 mod platform;
 mod query;
 mod routing;
 mod seal;
 mod settings;
+mod submission;
 mod upstream;
 mod vm;
 
@@ -50,13 +56,16 @@
 pub use dispatch::*;
 pub use ids::*;
 pub use link::*;
+pub use listen::*;
 pub use membership::*;
 pub use observe::*;
+pub use operator::*;
 pub use outcome::*;
 pub use platform::*;
 pub use query::*;
 pub use routing::*;
 pub use seal::*;
 pub use settings::*;
+pub use submission::*;
 pub use upstream::*;
 pub use vm::*;
--- /dev/null
+++ b/crates/papayastack/src/submission/mod.rs
@@ -0,0 +1,21 @@
+//! Submissions, which run at most once across retries, VMs and outages of the store.
+
+mod desk;
+mod driver;
+mod key;
+mod layout;
+mod prune;
+mod pruner;
+mod record;
+mod refusals;
+mod request;
+mod sender;
+#[cfg(test)]
+mod tests;
+mod writer;
+
+pub use driver::{SubmissionDesk, WallClock};
+pub use key::{SUBMISSION_KEY_MAX_BYTES, SubmissionKey, SubmissionKeyError};
+pub use pruner::LedgerPruner;
+pub use record::RECEIPT_MAX_BYTES;
+pub use sender::{SendOutcome, Submission, SubmissionDone, SubmissionSender};
--- /dev/null
+++ b/crates/papayastack/src/vm/leave.rs
@@ -0,0 +1,52 @@
+//! Stopping one VM without cutting a request.
+
+use std::time::{Duration, Instant};
+
+use super::shared::lock;
+use super::start::Vm;
+use crate::addresses::LeavingPhase;
+
+/// The pause between two looks at the work that is left.
+const PROGRESS_INTERVAL: Duration = Duration::from_millis(20);
+
+impl Vm {
+    /// Returns once an operator has asked this VM to leave.
+    pub async fn drain_asked(&self) {
+        let mut asked = self.shared.leave_asked.subscribe();
+        // The sender lives as long as the VM.
+        let _ = asked.wait_for(|asked| *asked).await;
+    }
+
+    /// Leaves: is no longer handed out, accepts callers until the last address answer that named
+    /// it has lapsed, finishes what is in flight and stops.
+    pub async fn leave(self) {
+        log::info!(target: "papaya::vm", "vm: Leaving.");
+        self.shared.leave_asked.send_replace(true);
+        self.membership.leave();
+        lock(&self.shared.leaving).begin(Instant::now());
+        while self.advance().accepts() {
+            tokio::time::sleep(PROGRESS_INTERVAL).await;
+        }
+        self.shutdown().await;
+    }
+
+    /// Finishes what is in flight and stops, without waiting for callers to go elsewhere.
+    pub async fn shutdown(self) {
+        self.membership.leave();
+        self.callers.shutdown().await;
+        self.shared.submissions.drained().await;
+        while self.shared.counts().in_flight() > 0 {
+            tokio::time::sleep(PROGRESS_INTERVAL).await;
+        }
+        self.membership.end().await;
+        self.shared.hub.close();
+        for task in self.tasks {
+            task.abort();
+        }
+        log::info!(target: "papaya::vm", "vm: Left.");
+    }
+
+    fn advance(&self) -> LeavingPhase {
+        lock(&self.shared.leaving).advance(self.shared.counts().in_flight(), Instant::now())
+    }
+}
