--- a/crates/papayastack/src/settings/schema.rs
+++ b/crates/papayastack/src/settings/schema.rs
@@ -254,7 +254,7 @@
         Self {
             probe_interval_ms: 200,
             probe_timeout_ms: 100,
-            suspicion_ms: 500,
+            suspicion_ms: 400,
             indirect_probes: 3,
         }
     }
