Keep membership's bounded costs bounded

Records over 300 bytes are not spread and a data centre's name over 128 bytes is refused at bind; regions are reset only when they change; a retry draws 16 listed addresses; each peer keeps its hash. Two tests show the first two.

--- a/crates/papayastack/examples/membership_cost/virtual_time.rs
+++ b/crates/papayastack/examples/membership_cost/virtual_time.rs
@@ -113,6 +113,33 @@
     })
 }
 
+/// Lets all members put a new configuration in force at once.
+pub(crate) fn versions(members: usize) -> Value {
+    let mut vms = Loop::joined(members, 1);
+    vms.run(30 * SECOND);
+    vms.reset_peaks();
+    let start = vms.now;
+    for vm in &mut vms.vms {
+        vm.protocol.set_configuration_version(2);
+    }
+    let mut known_by_all_seconds = None;
+    while vms.now - start < 60 * SECOND && known_by_all_seconds.is_none() {
+        vms.run(SECOND / 10);
+        let stale = |vm: &Vm| {
+            vm.protocol.view().members.values().any(|member| member.configuration_version < 2)
+        };
+        if !vms.vms.iter().any(stale) {
+            known_by_all_seconds = Some((vms.now - start).as_secs_f64());
+        }
+    }
+    json!({
+        "members": members,
+        "all_versions_in_all_views_after_seconds": known_by_all_seconds,
+        "mean_sent_bytes_per_second": vms.mean_since(start),
+        "peak_sent_bytes_in_one_second": vms.peak(),
+    })
+}
+
 /// Cuts one region off for five minutes.
 pub(crate) fn region_cut(members: usize) -> Value {
     let mut vms = Loop::joined(members, DATA_CENTRES);
@@ -290,6 +317,16 @@
     }
 }
 
+/// Returns the identity of a VM by its number.
+pub(crate) fn identity_of(number: usize) -> VmIdentity {
+    VmIdentity { address: address_of(number), incarnation: 1_764_800_000_000 + number as u64 }
+}
+
+/// Creates two machines that know each other as seeds.
+pub(crate) fn pair(now: Instant) -> (MembershipProtocol, MembershipProtocol) {
+    (machine(0, 2, 1, now), machine(1, 2, 1, now))
+}
+
 fn vm(
     number: usize,
     members: usize,
@@ -297,10 +334,21 @@
     keyring: &Arc<Keyring>,
     now: Instant,
 ) -> Vm {
-    let identity =
-        VmIdentity { address: address_of(number), incarnation: 1_764_800_000_000 + number as u64 };
+    let identity = identity_of(number);
+    Vm {
+        protocol: machine(number, members, data_centres, now),
+        sealer: DatagramSealer::new(Arc::clone(keyring), identity.clone()),
+        opener: DatagramOpener::new(Arc::clone(keyring), identity.address),
+        running: true,
+        second_bytes: 0,
+        peak_bytes: 0,
+        sent_bytes: 0,
+    }
+}
+
+fn machine(number: usize, members: usize, data_centres: usize, now: Instant) -> MembershipProtocol {
     let own = Member {
-        identity: identity.clone(),
+        identity: identity_of(number),
         data_centre: format!("centre-{}", number % data_centres),
         caller_address: ([10, 0, 0, 1], 8_000).into(),
         state: MemberState::Live,
@@ -313,15 +361,7 @@
     let mut protocol = MembershipProtocol::new(own, settings.clone(), number as u64, now);
     protocol.configure(settings, regions);
     protocol.on_seeds((0..members).map(address_of), now);
-    Vm {
-        protocol,
-        sealer: DatagramSealer::new(Arc::clone(keyring), identity.clone()),
-        opener: DatagramOpener::new(Arc::clone(keyring), identity.address),
-        running: true,
-        second_bytes: 0,
-        peak_bytes: 0,
-        sent_bytes: 0,
-    }
+    protocol
 }
 
 fn region(data_centre: usize) -> usize {
--- a/crates/papayastack/src/membership/driver.rs
+++ b/crates/papayastack/src/membership/driver.rs
@@ -23,6 +23,8 @@
 
 const LOG: &str = "papaya::membership";
 
+/// The longest name of a data centre in bytes.
+const DATA_CENTRE_MAX_BYTES: usize = 128;
 /// Datagrams that are taken in before the next tick may run.
 const DATAGRAMS_PER_BATCH: usize = 64;
 /// The shortest time between two views that differ only in configuration versions.
@@ -42,6 +44,11 @@
         /// The address for links and datagrams.
         link_address: SocketAddr,
     },
+    /// The name of the data centre does not fit into the protocol's messages.
+    DataCentreName {
+        /// Its length in bytes.
+        length_bytes: usize,
+    },
 }
 
 impl std::fmt::Display for MembershipError {
@@ -52,6 +59,10 @@
                 "`link_address` {link_address} cannot be bound for datagrams; \
                  it must be a single local address with a free UDP port"
             ),
+            Self::DataCentreName { length_bytes } => write!(
+                formatter,
+                "`data_centre` has {length_bytes} bytes; at most {DATA_CENTRE_MAX_BYTES} fit"
+            ),
         }
     }
 }
@@ -74,7 +85,7 @@
     /// Until [`Membership::configure`] names the regions, each data centre counts as one.
     ///
     /// # Errors
-    /// The address is not local, not a single one, or in use.
+    /// The address is not local, not a single one, or in use; the data centre's name is too long.
     pub async fn bind(
         own: Member,
         settings: MembershipSettings,
@@ -85,6 +96,10 @@
         if own.identity.address.ip().is_unspecified() {
             return Err(Report::new(error));
         }
+        let length_bytes = own.data_centre.len();
+        if length_bytes > DATA_CENTRE_MAX_BYTES {
+            return Err(Report::new(MembershipError::DataCentreName { length_bytes }));
+        }
         let socket =
             UdpSocket::bind(own.identity.address).await.change_context_lazy(|| error.clone())?;
         let address = socket.local_addr().change_context(error)?;
--- a/crates/papayastack/src/membership/protocol/comparing.rs
+++ b/crates/papayastack/src/membership/protocol/comparing.rs
@@ -94,13 +94,17 @@
     /// Digests the live members; the dead are left out, since each VM forgets them on its own.
     fn digests(&self, buckets: usize) -> Vec<u32> {
         let mut digests = vec![0; buckets];
-        let live = self.peers.iter().filter(|peer| !peer.is_dead()).map(|peer| &peer.record);
-        for record in live.chain([&self.own]) {
-            digests[bucket_of(record.identity.address, buckets)] ^= record_digest(record);
+        for peer in self.peers.iter().filter(|peer| !peer.is_dead()) {
+            digests[bucket_of(peer.address_hash, buckets)] ^= record_digest(&peer.record);
         }
+        digests[bucket_of(self.own_hash(), buckets)] ^= record_digest(&self.own);
         digests
     }
 
+    fn own_hash(&self) -> u64 {
+        address_hash(self.own.identity.address)
+    }
+
     fn pages(&self, buckets: usize, differing: &[usize]) -> Vec<Vec<Update>> {
         let mut pages = vec![Vec::new()];
         let mut page_bytes = 0;
@@ -124,9 +128,9 @@
     }
 
     fn updates_in(&self, bucket: usize, buckets: usize) -> Vec<Update> {
-        let own = (bucket_of(self.own.identity.address, buckets) == bucket)
+        let own = (bucket_of(self.own_hash(), buckets) == bucket)
             .then(|| Update::Record(self.own.clone()));
-        let inside = |peer: &&Peer| bucket_of(peer.record.identity.address, buckets) == bucket;
+        let inside = |peer: &&Peer| bucket_of(peer.address_hash, buckets) == bucket;
         let peers = self.peers.iter().filter(inside).map(known_update);
         own.into_iter().chain(peers).collect()
     }
@@ -140,8 +144,8 @@
     }
 }
 
-fn bucket_of(address: VmAddress, buckets: usize) -> usize {
-    address_hash(address) as usize & (buckets - 1)
+fn bucket_of(address_hash: u64, buckets: usize) -> usize {
+    address_hash as usize & (buckets - 1)
 }
 
 fn record_digest(record: &Record) -> u32 {
--- a/crates/papayastack/src/membership/protocol/mod.rs
+++ b/crates/papayastack/src/membership/protocol/mod.rs
@@ -13,7 +13,7 @@
 mod probing;
 mod sending;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -40,6 +40,8 @@
 const STALL_AFTER: Duration = Duration::from_millis(150);
 const SEED_RETRY: Duration = Duration::from_millis(500);
 const SEEDS_PER_RETRY: usize = 3;
+/// Listed addresses that one retry looks at, so that its cost does not grow with the list.
+const SEEDS_DRAWN: usize = 16;
 const SEEDS_MAX: usize = 16_384;
 
 /// A message to be sealed and sent.
@@ -77,7 +79,7 @@
     probes: Probes,
     bridges: Bridges,
     budget: ByteBudget,
-    seeds: BTreeSet<VmAddress>,
+    seeds: Vec<VmAddress>,
     seed_retry_at: Instant,
     compare_at: Instant,
     compare_interval: Duration,
@@ -102,7 +104,7 @@
             probes: Probes::new(now),
             bridges: Bridges::new(now),
             budget: ByteBudget::new(now),
-            seeds: BTreeSet::new(),
+            seeds: Vec::new(),
             seed_retry_at: now,
             compare_at: now,
             compare_interval: comparing::COMPARE_INTERVAL_MIN,
@@ -167,9 +169,10 @@
         regions: BTreeMap<DataCentreName, RegionName>,
     ) {
         self.settings = settings;
-        self.regions.assign(regions);
-        self.peers.mark_changed();
-        self.view_change = ViewChange::Members;
+        if self.regions.assign(regions) {
+            self.peers.mark_changed();
+            self.raise_change(ViewChange::Members);
+        }
     }
 
     /// Tells the others that this VM has a version of the configuration in force.
@@ -274,11 +277,10 @@
             return;
         }
         self.seed_retry_at = now + SEED_RETRY;
-        let unknown: Vec<VmAddress> =
-            self.seeds.iter().filter(|seed| !self.peers.is_live(**seed)).copied().collect();
         let wanted = if self.peers.live_count() == 0 { SEEDS_PER_RETRY } else { 1 };
-        let chosen: Vec<VmAddress> =
-            unknown.choose_multiple(&mut self.random, wanted).copied().collect();
+        let drawn = self.seeds.choose_multiple(&mut self.random, SEEDS_DRAWN).copied();
+        let unknown = drawn.filter(|seed| !self.peers.is_live(*seed));
+        let chosen: Vec<VmAddress> = unknown.take(wanted).collect();
         for seed in chosen {
             self.send_first_probe(seed);
         }
--- a/crates/papayastack/src/membership/protocol/peers.rs
+++ b/crates/papayastack/src/membership/protocol/peers.rs
@@ -20,6 +20,8 @@
 /// One peer.
 pub(crate) struct Peer {
     pub(crate) record: Record,
+    /// The hash of the address, which chooses the bucket in comparisons.
+    pub(crate) address_hash: u64,
     standing: StateMachine<Standing>,
 }
 
@@ -27,7 +29,7 @@
     pub(crate) fn new(record: Record) -> Self {
         let mut standing = Standing::default().state_machine();
         standing.init();
-        Self { record, standing }
+        Self { address_hash: address_hash(record.identity.address), record, standing }
     }
 
     /// Applies evidence and says whether the standing changed.
--- a/crates/papayastack/src/membership/regions.rs
+++ b/crates/papayastack/src/membership/regions.rs
@@ -31,10 +31,14 @@
 }
 
 impl Regions {
-    /// Takes the regions of the configuration.
-    pub(crate) fn assign(&mut self, by_data_centre: BTreeMap<DataCentreName, RegionName>) {
+    /// Takes the regions of the configuration and says whether they changed.
+    pub(crate) fn assign(&mut self, by_data_centre: BTreeMap<DataCentreName, RegionName>) -> bool {
+        if self.by_data_centre == by_data_centre {
+            return false;
+        }
         self.by_data_centre = by_data_centre;
         self.reach.clear();
+        true
     }
 
     /// Returns the region of a data centre.
--- a/crates/papayastack/src/membership/tests/cluster.rs
+++ b/crates/papayastack/src/membership/tests/cluster.rs
@@ -172,6 +172,12 @@
         self.live(vm).contains_key(&address(other))
     }
 
+    /// Gives a VM the configuration that it has.
+    pub(super) fn configure_again(&mut self, vm: usize) {
+        let regions = self.regions.clone();
+        self.vms[vm].protocol.configure(self.settings.clone(), regions);
+    }
+
     /// Returns the regions that `vm` takes for unreachable.
     pub(super) fn unreachable(&self, vm: usize) -> BTreeSet<String> {
         self.view(vm).unreachable_regions
--- a/crates/papayastack/src/membership/tests/driver.rs
+++ b/crates/papayastack/src/membership/tests/driver.rs
@@ -146,3 +146,21 @@
 
     assert!(refused.unwrap_err().to_string().contains("link_address"));
 }
+
+#[tokio::test]
+async fn a_data_centre_name_that_does_not_fit_is_named() {
+    let (_listing, listed) = watch::channel(Vec::new());
+    let platform: Arc<dyn Platform> = Arc::new(Listing(listed));
+    let own = Member {
+        identity: VmIdentity { address: ([127, 0, 0, 1], 0).into(), incarnation: 1 },
+        data_centre: "c".repeat(129),
+        caller_address: ([127, 0, 0, 1], 9).into(),
+        state: MemberState::Live,
+        configuration_version: 0,
+    };
+    let keyring = Arc::new(Keyring::new(&["a".repeat(16)]).unwrap());
+
+    let refused = Membership::bind(own, MembershipSettings::default(), platform, keyring).await;
+
+    assert!(refused.unwrap_err().to_string().contains("data_centre"));
+}
--- a/crates/papayastack/src/membership/tests/faults.rs
+++ b/crates/papayastack/src/membership/tests/faults.rs
@@ -185,3 +185,26 @@
 
     assert!(took < Duration::from_millis(400), "an announced end took {took:?}");
 }
+
+#[test]
+fn an_update_that_fits_nowhere_holds_up_no_other() {
+    let mut cluster = Cluster::new(3, 11, &[], |vm| "c".repeat(1 + vm / 2 * 2_000));
+    cluster.run(2 * SECOND);
+
+    cluster.protocol(0).set_configuration_version(7);
+
+    cluster.run_until("the version is known", 3 * SECOND, |it| it.version(1, 0) == 7);
+}
+
+#[test]
+fn an_unchanged_configuration_keeps_what_is_known_of_regions() {
+    let regions = [("a", "north"), ("b", "south")];
+    let mut cluster = Cluster::new(4, 12, &regions, |vm| ["a", "b"][vm % 2].to_owned());
+    cluster.run_until("all joined", 30 * SECOND, |it| (0..4).all(|vm| it.live(vm).len() == 4));
+    cluster.network.cuts = vec![(BTreeSet::from([0, 2]), BTreeSet::from([1, 3]))];
+    cluster.run_until("the cut is noticed", 10 * SECOND, |it| it.unreachable(0).len() == 1);
+
+    cluster.configure_again(0);
+
+    assert_eq!(cluster.unreachable(0).len(), 1);
+}
--- a/crates/papayastack/src/membership/updates.rs
+++ b/crates/papayastack/src/membership/updates.rs
@@ -6,6 +6,9 @@
 
 use super::message::{Update, encode};
 
+/// The longest update that is spread, in bytes; a name of 128 bytes fits.
+const UPDATE_MAX_BYTES: usize = 300;
+
 /// What an update replaces: a newer one about the same subject.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Subject {
@@ -62,7 +65,13 @@
 
 impl UpdateQueue {
     /// Adds an update in place of an older one about the same subject.
+    ///
+    /// An update that would not fit beside a probe is not spread: it would hold up all others.
     pub(crate) fn push(&mut self, update: Update) {
+        let encoded_bytes = encode(&update).len();
+        if encoded_bytes > UPDATE_MAX_BYTES {
+            return;
+        }
         let subject = Subject::of(&update);
         if let Some(replaced) = self.entries.remove(&subject) {
             self.order.remove(&replaced.key);
@@ -75,7 +84,6 @@
             subject: subject.clone(),
         };
         self.order.insert(key.clone());
-        let encoded_bytes = encode(&update).len();
         self.entries.insert(subject, Entry { update, encoded_bytes, key });
     }
 
