--- a/crates/papayastack/src/observe/tests.rs
+++ b/crates/papayastack/src/observe/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of spans, logs and metrics.
 
+use std::collections::BTreeSet;
+use std::path::Path;
 use std::time::Duration;
 
 use log4rs::encode::Encode;
@@ -78,17 +80,7 @@
 
 #[test]
 fn labels_match_the_names_on_the_wire() {
-    let outcomes = [
-        QueryOutcome::Found,
-        QueryOutcome::FoundPartial,
-        QueryOutcome::NoneFound,
-        QueryOutcome::Inconclusive,
-        QueryOutcome::NotRun,
-        QueryOutcome::OutcomeUnknown,
-        QueryOutcome::Cancelled,
-    ];
-
-    for outcome in outcomes {
+    for outcome in QueryOutcome::ALL {
         assert_eq!(serde_json::to_value(outcome).unwrap(), outcome.name());
     }
 }
@@ -102,30 +94,58 @@
     assert!(error.current_context().to_string().contains("`loud`"));
 }
 
+fn level_of(settings: &LogSettings, target: &str) -> log::LevelFilter {
+    let config = logs::log_config(settings).unwrap();
+    let mut loggers = config.loggers().iter();
+    loggers.find(|logger| logger.name() == target).unwrap().level()
+}
+
 #[test]
 fn spans_are_off_unless_asked_for() {
-    let level_of = |settings: &LogSettings| {
-        let config = logs::log_config(settings).unwrap();
-        let loggers = config.loggers().to_vec();
-        loggers.iter().find(|logger| logger.name() == SPAN_TARGET).unwrap().level()
-    };
-
-    assert_eq!(level_of(&LogSettings::default()), log::LevelFilter::Off);
-    assert_eq!(
-        level_of(&LogSettings { spans: true, ..LogSettings::default() }),
-        log::LevelFilter::Info
-    );
+    let quiet = LogSettings::default();
+    let asked_for = LogSettings { spans: true, ..LogSettings::default() };
+
+    assert_eq!(level_of(&quiet, SPAN_TARGET), log::LevelFilter::Off);
+    assert_eq!(level_of(&asked_for, SPAN_TARGET), log::LevelFilter::Info);
+}
+
+#[test]
+fn the_level_applies_to_parts_and_modules() {
+    let settings = LogSettings { level: "debug".to_owned(), ..LogSettings::default() };
+
+    assert_eq!(level_of(&settings, "papaya"), log::LevelFilter::Debug);
+    assert_eq!(level_of(&settings, "papayastack"), log::LevelFilter::Debug);
 }
 
 #[test]
 fn a_text_line_carries_the_part_as_prefix() {
     let mut line = log4rs::encode::writer::simple::SimpleWriter(Vec::new());
     let encoder = log4rs::encode::pattern::PatternEncoder::new(logs::TEXT_PATTERN);
-    let message = format_args!("Link ended.");
+    let message = format_args!("link: Link ended.");
 
     let record = log::Record::builder().target("papaya::link").args(message).build();
     encoder.encode(&mut line, &record).unwrap();
 
     let text = String::from_utf8(line.0).unwrap();
-    assert!(text.ends_with("Z INFO  papaya::link: Link ended.\n"), "{text}");
+    assert!(text.ends_with("Z INFO  link: Link ended.\n"), "{text}");
+}
+
+#[test]
+fn each_metric_is_documented_and_no_other() {
+    let page = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/METRICS.md");
+    let page = std::fs::read_to_string(page).unwrap();
+    let metrics = Metrics::new().encode();
+
+    let types = metrics.lines().filter_map(|line| line.strip_prefix("# TYPE "));
+    let registered: BTreeSet<&str> = types
+        .filter_map(|line| line.split_once(' '))
+        .map(|(name, kind)| if kind == "info" { "papaya_build_info" } else { name })
+        .collect();
+    let rows = page.lines().filter_map(|line| line.strip_prefix("| `papaya_"));
+    let documented: BTreeSet<String> = rows
+        .filter_map(|row| row.split('`').next())
+        .map(|name| format!("papaya_{}", name.trim_end_matches("_total")))
+        .collect();
+
+    assert_eq!(documented, registered.into_iter().map(str::to_owned).collect());
 }
