--- a/crates/papayastack/src/vm/start.rs
+++ b/crates/papayastack/src/vm/start.rs
@@ -136,10 +136,11 @@
             directory,
             hub: hub.clone(),
             pending,
+            configuration_status: configuration.status.clone(),
             configuration_inbound,
             metrics,
         });
-        let service = Arc::new(VmService::new(Arc::clone(&shared), configuration.status.clone()));
+        let service = Arc::new(VmService::new(Arc::clone(&shared)));
         let (callers, operators) = bind_servers(&local, &service).await?;
         membership.set_caller_address(callers.address());
         let tasks = vec![
