Run the pruner as a handle; split the writer's steps by duty

Cause: a VM needs one line to start pruning, and the writer's steps had grown to 420 lines in one file. The desk asked every waiting request for its deadline after each input.

The desk keeps each writer's next wake.

--- a/crates/papayastack/src/submission/desk.rs
+++ b/crates/papayastack/src/submission/desk.rs
@@ -99,6 +99,7 @@
 struct WriterSlot {
     machine: StateMachine<LedgerWriter>,
     busy_at: Instant,
+    wake: Option<Instant>,
 }
 
 /// All submissions of one VM.
@@ -151,7 +152,7 @@
 
     /// Returns when the desk wants its next [`DeskInput::Tick`].
     pub(crate) fn next_wake(&self) -> Option<Instant> {
-        let writers = self.writers.values().filter_map(|slot| slot.machine.inner().next_wake());
+        let writers = self.writers.values().filter_map(|slot| slot.wake);
         let asked = self.layouts.values().flat_map(|layout| match layout {
             LayoutState::Known(_) => &[],
             LayoutState::Asked(waiting) => waiting.as_slice(),
@@ -291,9 +292,7 @@
 
     fn tick(&mut self, moment: Moment) {
         self.expire_asked(moment.now);
-        let due = |slot: &WriterSlot| {
-            slot.machine.inner().next_wake().is_some_and(|wake| wake <= moment.now)
-        };
+        let due = |slot: &WriterSlot| slot.wake.is_some_and(|wake| wake <= moment.now);
         let writers = self.writers.iter().filter(|(_, slot)| due(slot));
         let objects: Vec<_> = writers.map(|(object, _)| object.clone()).collect();
         for object in objects {
@@ -327,12 +326,14 @@
             self.writers.entry(object.clone()).or_insert_with(|| WriterSlot {
                 machine: LedgerWriter::new(era, pacing).state_machine(),
                 busy_at: moment.now,
+                wake: None,
             });
         }
         let Some(slot) = self.writers.get_mut(object) else { return };
         let mut step = Step { now: moment.now, unix_ms: moment.unix_ms, actions: Vec::new() };
         slot.machine.handle_with_context(event, &mut step);
         slot.busy_at = moment.now;
+        slot.wake = slot.machine.inner().next_wake();
         for action in step.actions {
             self.act(object, action);
         }
--- a/crates/papayastack/src/submission/driver.rs
+++ b/crates/papayastack/src/submission/driver.rs
@@ -265,7 +265,8 @@
     }
 }
 
-async fn bounded<T>(
+/// Makes a call to the platform; an answer later than [`CALL_TIMEOUT`] counts as lost.
+pub(crate) async fn bounded<T>(
     call: impl Future<Output = Result<T, PlatformError>>,
 ) -> Result<T, PlatformError> {
     tokio::time::timeout(CALL_TIMEOUT, call).await.unwrap_or(Err(PlatformError::AnswerLost))
--- a/crates/papayastack/src/submission/tests/driver.rs
+++ b/crates/papayastack/src/submission/tests/driver.rs
@@ -12,6 +12,7 @@
 use crate::platform::Platform;
 use crate::settings::SubmissionSettings;
 use crate::submission::driver::{SubmissionDesk, WallClock};
+use crate::submission::pruner::LedgerPruner;
 use crate::submission::sender::{SendOutcome, Submission, SubmissionDone, SubmissionSender};
 use crate::upstream::SubmitRequest;
 
@@ -255,3 +256,26 @@
     assert_eq!(executions_before, 0);
     assert!(!retry.unwrap().repeated);
 }
+
+#[tokio::test(start_paused = true)]
+async fn the_pruner_deletes_what_the_retention_window_has_left() {
+    let fixture = fixture();
+    let desk = fixture.desk();
+    submit(&desk, KEY, "a").await.unwrap();
+    let platform = Arc::clone(&fixture.platform) as Arc<dyn Platform>;
+    let duty = || Some(SubmissionSettings::default());
+    let _pruner = LedgerPruner::spawn_with_clock(platform, duty, Arc::clone(&fixture.clock));
+
+    tokio::time::sleep(Duration::from_secs(30 * 3_600)).await;
+    let newer = format!("{}-b", (fixture.clock)());
+    submit(&desk, &newer, "a").await.unwrap();
+    let kept = fixture.platform.names("ledger").len();
+    tokio::time::sleep(Duration::from_secs(3_600)).await;
+    let left = fixture.platform.names("ledger");
+    let pruned = submit(&desk, KEY, "a").await;
+
+    assert_eq!((kept, left.len()), (2, 1));
+    assert_eq!(fixture.platform.names("ledger-era").len(), 1);
+    assert_eq!(told(pruned), (RefusalReason::NoLongerKnown, Certainty::OutcomeUnknown));
+    assert!(submit(&desk, &newer, "a").await.unwrap().repeated);
+}
--- a/crates/papayastack/src/submission/tests/store.rs
+++ b/crates/papayastack/src/submission/tests/store.rs
@@ -86,6 +86,12 @@
         *self.script.lock().unwrap() = faults.iter().copied().collect();
     }
 
+    /// Returns the names of the objects of one kind.
+    pub(super) fn names(&self, kind: &str) -> Vec<ObjectName> {
+        let objects = self.objects.lock().unwrap();
+        objects.objects.keys().filter(|name| name.kind == kind).cloned().collect()
+    }
+
     /// Returns what was called since the last time.
     pub(super) fn take_calls(&self) -> Vec<String> {
         std::mem::take(&mut *self.calls.lock().unwrap())
--- a/crates/papayastack/src/submission/writer/mod.rs
+++ b/crates/papayastack/src/submission/writer/mod.rs
@@ -4,7 +4,9 @@
 //! only when its intent was recorded, the ledger's floor was read afterwards and lies below the
 //! object, and the attempt's deadline has not passed. Outcomes follow in later writes.
 
-mod steps;
+mod attempts;
+mod finding;
+mod object;
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
