--- /dev/null
+++ b/crates/papayastack-quickstart/src/system.rs
@@ -0,0 +1,133 @@
+//! The system that the quickstart runs: one platform, one place, four VMs.
+
+use std::collections::BTreeSet;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use papayastack::{CallerClient, HttpPlatform, ListedState, ListedVm, LocalSettings, Platform, Vm};
+use papayastack_standin::{Place, PlaceOptions, PlaceStandin, PlatformStandin};
+
+/// The service whose queries are shown.
+pub(crate) const QUERY_SERVICE: &str = "deadline-board";
+/// The service whose submissions are shown.
+pub(crate) const SUBMISSION_SERVICE: &str = "reminder-mailer";
+/// The seed of the stand-ins' indexes.
+pub(crate) const SEED: u64 = 2026;
+
+/// How long callers may keep an address answer, in milliseconds; short, so that leaving is.
+const ADDRESS_LIFETIME_MS: u64 = 1_000;
+/// The data centre of each VM.
+const DATA_CENTRES: [&str; 4] = ["centro-a", "centro-a", "centro-b", "centro-c"];
+/// The longest wait for the VMs to find each other and the configuration.
+const READY_TIMEOUT: Duration = Duration::from_secs(10);
+/// The pause between two looks at a condition.
+const LOOK_INTERVAL: Duration = Duration::from_millis(5);
+
+/// The running system.
+pub(crate) struct System {
+    pub(crate) platform_standin: PlatformStandin,
+    pub(crate) platform: Arc<dyn Platform>,
+    pub(crate) place: PlaceStandin,
+    pub(crate) vms: Vec<Vm>,
+    pub(crate) caller: CallerClient,
+}
+
+impl System {
+    /// Starts everything and waits until each VM serves callers and knows the other three.
+    pub(crate) async fn start() -> Result<Self, String> {
+        let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let platform_standin =
+            PlatformStandin::bind(any_port).await.map_err(|error| error.to_string())?;
+        let options = PlaceOptions {
+            seed: SEED,
+            services: BTreeSet::from([QUERY_SERVICE.to_owned(), SUBMISSION_SERVICE.to_owned()]),
+            ..PlaceOptions::default()
+        };
+        let place = PlaceStandin::bind(Place::PlazoClaro, options)
+            .await
+            .map_err(|error| error.to_string())?;
+        let platform = Arc::new(HttpPlatform::open(vec![platform_standin.address()]));
+        publish(&place, platform.as_ref()).await?;
+        let mut vms = Vec::new();
+        for data_centre in DATA_CENTRES {
+            let local = local_settings(data_centre, platform_standin.address());
+            let vm = Vm::bind(local, Arc::clone(&platform) as _)
+                .await
+                .map_err(|report| report.to_string())?;
+            platform_standin.put_vm(listed(&vm, data_centre));
+            vms.push(vm);
+        }
+        for vm in &vms {
+            wait_until("every VM knows the others and the configuration", || is_ready(vm)).await?;
+        }
+        let entries = vms.iter().map(Vm::caller_address).collect();
+        let caller = CallerClient::open(entries, Some("centro-b".to_owned())).await;
+        Ok(Self { platform_standin, platform, place, vms, caller })
+    }
+
+    /// Stops the VMs that still run; the stand-ins end with the process.
+    pub(crate) async fn stop(self) {
+        for vm in self.vms {
+            vm.shutdown().await;
+        }
+    }
+}
+
+/// Waits until a condition holds.
+///
+/// # Errors
+/// The condition does not hold within [`READY_TIMEOUT`].
+pub(crate) async fn wait_until(what: &str, holds: impl Fn() -> bool) -> Result<(), String> {
+    let looks = READY_TIMEOUT.as_millis() / LOOK_INTERVAL.as_millis();
+    for _ in 0..looks {
+        if holds() {
+            return Ok(());
+        }
+        tokio::time::sleep(LOOK_INTERVAL).await;
+    }
+    Err(format!("not within {} s: {what}", READY_TIMEOUT.as_secs()))
+}
+
+async fn publish(place: &PlaceStandin, platform: &dyn Platform) -> Result<(), String> {
+    place.publish(platform).await.map_err(|error| error.to_string())?;
+    let mut bundle = place.bundle();
+    bundle.change_id = "quickstart-address-lifetime".to_owned();
+    bundle.base["addresses"] = serde_json::json!({ "lifetime_ms": ADDRESS_LIFETIME_MS });
+    papayastack_standin::publish_bundle(platform, &bundle)
+        .await
+        .map(|_| ())
+        .map_err(|error| error.to_string())
+}
+
+fn is_ready(vm: &Vm) -> bool {
+    let members = vm.members().borrow().live().count();
+    let configured = vm
+        .in_force()
+        .borrow()
+        .as_ref()
+        .is_some_and(|current| current.catalogues.len() == current.settings.services.len());
+    members == DATA_CENTRES.len() && configured
+}
+
+fn listed(vm: &Vm, data_centre: &str) -> ListedVm {
+    ListedVm {
+        address: vm.link_address(),
+        data_centre: data_centre.to_owned(),
+        entry_vm: true,
+        state: ListedState::Live,
+    }
+}
+
+fn local_settings(data_centre: &str, platform: SocketAddr) -> LocalSettings {
+    let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    LocalSettings {
+        site: data_centre.to_owned(),
+        data_centre: data_centre.to_owned(),
+        link_address: any_port,
+        caller_address: any_port,
+        operator_address: any_port,
+        platform_addresses: vec![platform],
+        system_keys: vec!["the key of the quickstart".to_owned()],
+    }
+}
--- a/crates/papayastack/src/vm/service.rs
+++ b/crates/papayastack/src/vm/service.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use tokio::sync::watch;
+use serde_json::json;
 
 use super::entry::answer_query;
 use super::shared::Shared;
@@ -15,7 +15,7 @@
     AddressesAnswer, CallerService, QueryAnswer, QueryRequest, RefusalAnswer, RequestContext,
     SubmissionAnswer, SubmissionRequest,
 };
-use crate::configuration::{ConfigurationStatus, VmStatus};
+use crate::configuration::VmStatus;
 use crate::ids::DataCentreName;
 use crate::membership::MemberState;
 use crate::observe::{DispatchLevels, SubmissionOutcome};
@@ -29,16 +29,12 @@
 /// Answers callers and operators on behalf of the VM.
 pub(crate) struct VmService {
     shared: Arc<Shared>,
-    configuration: watch::Receiver<ConfigurationStatus>,
 }
 
 impl VmService {
     /// Answers from what the VM's parts share.
-    pub(crate) fn new(
-        shared: Arc<Shared>,
-        configuration: watch::Receiver<ConfigurationStatus>,
-    ) -> Self {
-        Self { shared, configuration }
+    pub(crate) fn new(shared: Arc<Shared>) -> Self {
+        Self { shared }
     }
 }
 
@@ -119,8 +115,9 @@
     }
 
     async fn status(&self) -> serde_json::Value {
-        let status = self.shared.status(&self.configuration.borrow());
-        serde_json::to_value(status).unwrap_or_default()
+        let mut status = json!(self.shared.status());
+        status["counts"] = json!(self.shared.counts());
+        status
     }
 
     fn readiness(&self) -> Readiness {
@@ -151,7 +148,7 @@
         Duration::from_millis(settings.unwrap_or_default().lifetime_ms)
     }
 
-    fn status(&self, configuration: &ConfigurationStatus) -> VmStatus {
+    fn status(&self) -> VmStatus {
         let view = Arc::clone(&self.members.borrow());
         let own = view.members.get(&self.address);
         let in_force = self.in_force.borrow().clone();
@@ -167,7 +164,7 @@
             state: own.map_or(MemberState::Live, |own| own.state),
             configuration_version: self.configuration_version(),
             snapshots: newest.collect(),
-            refused: configuration.refused.clone(),
+            refused: self.configuration_status.borrow().refused.clone(),
             members: view.members.values().cloned().collect(),
         }
     }
--- a/crates/papayastack/src/vm/shared.rs
+++ b/crates/papayastack/src/vm/shared.rs
@@ -14,7 +14,7 @@
 use super::submit::Relays;
 use crate::addresses::Leaving;
 use crate::admission::Admission;
-use crate::configuration::{ConfigurationMessage, InForce};
+use crate::configuration::{ConfigurationMessage, ConfigurationStatus, InForce};
 use crate::ids::{ServiceName, VmAddress};
 use crate::link::LinkHub;
 use crate::membership::{MemberView, VmIdentity};
@@ -39,6 +39,7 @@
     pub(crate) pending: Arc<PendingQueries>,
     pub(crate) submissions: SubmissionDesk,
     pub(crate) relays: Relays,
+    pub(crate) configuration_status: watch::Receiver<ConfigurationStatus>,
     pub(crate) configuration_inbound: mpsc::Sender<(VmAddress, ConfigurationMessage)>,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) tracer: Arc<Tracer>,
