--- a/crates/papayastack-caller/src/main.rs
+++ b/crates/papayastack-caller/src/main.rs
@@ -28,7 +28,7 @@
             report.exit.into()
         }
         Err(problem) => {
-            eprintln!("papayaq: {problem}; see --help");
+            eprintln!("papayaq: {problem} (see --help)");
             exit::Exit::Usage.into()
         }
     }
--- a/crates/papayastack-caller/src/options.rs
+++ b/crates/papayastack-caller/src/options.rs
@@ -130,7 +130,7 @@
         "addresses" => Options::Addresses,
         unknown => {
             let problem = unknown_name("command", unknown, &COMMANDS);
-            return Err(format!("{problem}; the commands are {}", COMMANDS.join(", ")));
+            return Err(format!("{problem} The commands are {}", COMMANDS.join(", ")));
         }
     };
     // A misspelt option is named before anything is said to be missing.
@@ -298,6 +298,6 @@
 fn unknown_name(kind: &str, name: &str, known: &[&str]) -> String {
     match nearest_name(name, known.iter().copied()) {
         Some(nearest) => format!("unknown {kind} `{name}`; did you mean `{nearest}`?"),
-        None => format!("unknown {kind} `{name}`"),
+        None => format!("unknown {kind} `{name}`."),
     }
 }
--- a/crates/papayastack-caller/src/tests.rs
+++ b/crates/papayastack-caller/src/tests.rs
@@ -74,7 +74,8 @@
 fn faults_of_the_command_line_are_named() {
     let faults = [
         ("", "no command"),
-        ("qurey s --term a", "`qurey`; the commands are query, submit, addresses"),
+        ("qurey s --term a", "`qurey`; did you mean `query`? The commands are query, submit"),
+        ("search s --term a", "`search`. The commands are query, submit, addresses"),
         ("quer s --term a", "`quer`; did you mean `query`?"),
         ("query s --term a --deadlin-ms 5", "`--deadlin-ms`; did you mean `--deadline-ms`?"),
         ("query --tern a", "`--tern`; did you mean `--term`?"),
--- a/crates/papayastack/src/vm/leave.rs
+++ b/crates/papayastack/src/vm/leave.rs
@@ -24,6 +24,8 @@
         self.shared.leave_asked.send_replace(true);
         self.membership.leave();
         lock(&self.shared.leaving).begin(Instant::now());
+        // Callers move on by themselves, so that no request meets a connection that is closing.
+        self.callers.retire();
         while self.advance().accepts() {
             tokio::time::sleep(PROGRESS_INTERVAL).await;
         }
