--- a/crates/papayastack/src/vm/service.rs
+++ b/crates/papayastack/src/vm/service.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use tokio::sync::watch;
+use serde_json::json;
 
 use super::entry::answer_query;
 use super::shared::Shared;
@@ -15,15 +15,9 @@
     AddressesAnswer, CallerService, QueryAnswer, QueryRequest, RefusalAnswer, RequestContext,
     SubmissionAnswer, SubmissionRequest,
 };
-<<<<<<< HEAD
-use crate::configuration::{ConfigurationStatus, VmStatus};
-use crate::ids::DataCentreName;
-use crate::membership::MemberState;
-=======
 use crate::configuration::VmStatus;
 use crate::ids::DataCentreName;
-use crate::membership::{Member, MemberView};
->>>>>>> settings
+use crate::membership::MemberState;
 use crate::observe::{DispatchLevels, SubmissionOutcome};
 use crate::operator::{OperatorService, Readiness};
 use crate::outcome::{Custody, RefusalReason};
@@ -35,16 +29,12 @@
 /// Answers callers and operators on behalf of the VM.
 pub(crate) struct VmService {
     shared: Arc<Shared>,
-    configuration: watch::Receiver<ConfigurationStatus>,
 }
 
 impl VmService {
     /// Answers from what the VM's parts share.
-    pub(crate) fn new(
-        shared: Arc<Shared>,
-        configuration: watch::Receiver<ConfigurationStatus>,
-    ) -> Self {
-        Self { shared, configuration }
+    pub(crate) fn new(shared: Arc<Shared>) -> Self {
+        Self { shared }
     }
 }
 
@@ -125,18 +115,9 @@
     }
 
     async fn status(&self) -> serde_json::Value {
-<<<<<<< HEAD
-        let status = self.shared.status(&self.configuration.borrow());
-        serde_json::to_value(status).unwrap_or_default()
-=======
-        let view = Arc::clone(&self.shared.members.borrow());
-        let Some(own) = view.members.get(&self.shared.identity.address) else {
-            return json!({ "counts": self.shared.counts() });
-        };
-        let mut status = json!(self.shared.vm_status(own, &view));
+        let mut status = json!(self.shared.status());
         status["counts"] = json!(self.shared.counts());
         status
->>>>>>> settings
     }
 
     fn readiness(&self) -> Readiness {
@@ -155,24 +136,6 @@
 }
 
 impl Shared {
-    fn vm_status(&self, own: &Member, view: &MemberView) -> VmStatus {
-        let in_force = self.in_force.borrow().clone();
-        let catalogues = in_force.iter().flat_map(|current| &current.catalogues);
-        let snapshots = catalogues
-            .filter_map(|(service, catalogue)| Some((service.clone(), catalogue.newest()?.0)));
-        VmStatus {
-            identity: self.identity.clone(),
-            site: self.site.clone(),
-            data_centre: own.data_centre.clone(),
-            caller_address: own.caller_address,
-            state: own.state,
-            configuration_version: self.configuration_version(),
-            snapshots: snapshots.collect(),
-            refused: self.configuration_status.borrow().refused.clone(),
-            members: view.members.values().cloned().collect(),
-        }
-    }
-
     /// Returns the version of the configuration in force; zero before the first.
     pub(crate) fn configuration_version(&self) -> u64 {
         self.in_force.borrow().as_ref().map_or(0, |current| current.configuration_version)
@@ -185,7 +148,7 @@
         Duration::from_millis(settings.unwrap_or_default().lifetime_ms)
     }
 
-    fn status(&self, configuration: &ConfigurationStatus) -> VmStatus {
+    fn status(&self) -> VmStatus {
         let view = Arc::clone(&self.members.borrow());
         let own = view.members.get(&self.address);
         let in_force = self.in_force.borrow().clone();
@@ -201,7 +164,7 @@
             state: own.map_or(MemberState::Live, |own| own.state),
             configuration_version: self.configuration_version(),
             snapshots: newest.collect(),
-            refused: configuration.refused.clone(),
+            refused: self.configuration_status.borrow().refused.clone(),
             members: view.members.values().cloned().collect(),
         }
     }
--- a/crates/papayastack/src/vm/shared.rs
+++ b/crates/papayastack/src/vm/shared.rs
@@ -15,7 +15,7 @@
 use crate::addresses::Leaving;
 use crate::admission::Admission;
 use crate::configuration::{ConfigurationMessage, ConfigurationStatus, InForce};
-use crate::ids::{ServiceName, SiteName, VmAddress};
+use crate::ids::{ServiceName, VmAddress};
 use crate::link::LinkHub;
 use crate::membership::{MemberView, VmIdentity};
 use crate::observe::{Metrics, Tracer};
@@ -28,14 +28,9 @@
 pub(crate) struct Shared {
     pub(crate) address: VmAddress,
     pub(crate) identity: VmIdentity,
-<<<<<<< HEAD
     pub(crate) local: LocalSettings,
     pub(crate) leave_asked: watch::Sender<bool>,
     pub(crate) leaving: Mutex<Leaving>,
-=======
-    pub(crate) site: SiteName,
-    pub(crate) leaving: watch::Sender<bool>,
->>>>>>> settings
     pub(crate) in_force: watch::Receiver<Option<Arc<InForce>>>,
     pub(crate) members: watch::Receiver<Arc<MemberView>>,
     pub(crate) directory: watch::Receiver<Arc<Directory>>,
--- a/crates/papayastack/src/vm/start.rs
+++ b/crates/papayastack/src/vm/start.rs
@@ -131,7 +131,6 @@
             local: local.clone(),
             address: identity.address,
             identity,
-            site: local.site.clone(),
             in_force,
             members,
             directory,
@@ -141,7 +140,7 @@
             configuration_inbound,
             metrics,
         });
-        let service = Arc::new(VmService::new(Arc::clone(&shared), configuration.status.clone()));
+        let service = Arc::new(VmService::new(Arc::clone(&shared)));
         let (callers, operators) = bind_servers(&local, &service).await?;
         membership.set_caller_address(callers.address());
         let tasks = vec![
