Keep owners up to date instead of ranking all VMs for each upstream

Ruled out: ranking on demand with a cache, since one change would empty it for a data centre. Change: rendezvous in two levels (data centre, then VM), three owners kept, updated by the VMs that came and went; the parts that the configuration gives are shared between directories. Conclusion: a membership change now costs a hash for each upstream of one data centre.

--- a/crates/papayastack/src/routing/directory.rs
+++ b/crates/papayastack/src/routing/directory.rs
@@ -6,7 +6,7 @@
 
 use papayastack_macros::value;
 
-use super::rendezvous::owner_order;
+use super::owners::{OwnerPlace, OwnerTable, Owners};
 use crate::configuration::InForce;
 use crate::ids::{ServiceName, ShardId, SnapshotVersion, UpstreamId, VmAddress};
 use crate::membership::MemberView;
@@ -23,7 +23,7 @@
     pub replicas: Vec<UpstreamIndex>,
 }
 
-/// Where an upstream is and who owns it.
+/// Where an upstream is and where its owners are found.
 #[value]
 pub struct UpstreamPlace {
     /// The upstream's name across VMs.
@@ -34,67 +34,113 @@
     pub address: SocketAddr,
     /// Concurrent requests that it takes.
     pub slots: u32,
-    /// The VMs that may own it, the owner first.
-    pub owners: Vec<VmAddress>,
+    /// Where its owners are found.
+    pub owners: OwnerPlace,
 }
 
-/// Gives each upstream a number that stays the same while the process runs.
-#[derive(Debug, Default)]
-pub struct UpstreamRegistry {
-    indices: BTreeMap<UpstreamId, UpstreamIndex>,
-}
-
-impl UpstreamRegistry {
-    /// Returns the number of `id`, giving it one where it has none.
-    pub fn index_of(&mut self, id: &UpstreamId) -> UpstreamIndex {
-        let next = UpstreamIndex::try_from(self.indices.len()).unwrap_or(UpstreamIndex::MAX);
-        *self.indices.entry(id.clone()).or_insert(next)
-    }
-}
-
-/// The resolved view that queries pin; replaced whole when configuration or membership changes.
+/// The upstreams of one configuration.
 #[value]
 #[derive(Default)]
-pub struct Directory {
+pub struct UpstreamPlaces {
     /// The upstreams by number.
-    pub upstreams: BTreeMap<UpstreamIndex, UpstreamPlace>,
+    pub by_index: BTreeMap<UpstreamIndex, UpstreamPlace>,
     /// The numbers of the upstreams by name.
     pub indices: BTreeMap<UpstreamId, UpstreamIndex>,
     /// The newest snapshot of each service with its shards.
     pub newest: BTreeMap<ServiceName, (SnapshotVersion, Arc<Vec<ShardReplicas>>)>,
 }
 
+/// The resolved view that queries pin; a change of members shares all but the owners.
+#[derive(Debug, Clone, Default)]
+pub struct Directory {
+    /// The upstreams, replaced when the configuration changes.
+    pub places: Arc<UpstreamPlaces>,
+    /// The owners, replaced when the members change.
+    pub owners: Owners,
+}
+
 impl Directory {
-    /// Resolves what is in force against the members.
-    pub fn resolve(in_force: &InForce, view: &MemberView, registry: &mut UpstreamRegistry) -> Self {
-        let mut directory = Self::default();
+    /// Returns an upstream with its number.
+    pub fn named(&self, id: &UpstreamId) -> Option<(UpstreamIndex, &UpstreamPlace)> {
+        let index = *self.places.indices.get(id)?;
+        Some((index, self.places.by_index.get(&index)?))
+    }
+
+    /// Iterates over the VMs that may own an upstream, the owner first.
+    pub fn owners_of(&self, place: &UpstreamPlace) -> impl Iterator<Item = VmAddress> + '_ {
+        self.owners.of(place.owners)
+    }
+}
+
+/// Resolves the directory again as configuration and members change.
+#[derive(Debug, Default)]
+pub struct DirectorySource {
+    indices: BTreeMap<UpstreamId, UpstreamIndex>,
+    table: OwnerTable,
+    places: Arc<UpstreamPlaces>,
+}
+
+impl DirectorySource {
+    /// Starts without configuration and members.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes the configuration in force.
+    pub fn set_in_force(&mut self, in_force: &InForce) {
+        let mut places = UpstreamPlaces::default();
+        let mut located = Vec::new();
+        for settings in in_force.settings.services.values() {
+            for (id, upstream) in &settings.upstreams {
+                let index = self.index_of(id);
+                places.indices.insert(id.clone(), index);
+                located.push((index, id, &upstream.data_centre));
+            }
+        }
+        let owners = self.table.set_upstreams(located.into_iter());
         for (service, settings) in &in_force.settings.services {
             for (id, upstream) in &settings.upstreams {
-                let index = registry.index_of(id);
+                let index = places.indices[id];
                 let place = UpstreamPlace {
                     id: id.clone(),
                     service: service.clone(),
                     address: upstream.address,
                     slots: settings.slots_per_upstream,
-                    owners: owner_order(id, &upstream.data_centre, view),
+                    owners: owners[&index],
                 };
-                directory.indices.insert(id.clone(), index);
-                directory.upstreams.insert(index, place);
+                places.by_index.insert(index, place);
             }
-            directory.resolve_snapshot(service, in_force);
+            resolve_snapshot(&mut places, service, in_force);
         }
-        directory
+        self.places = Arc::new(places);
     }
 
-    fn resolve_snapshot(&mut self, service: &ServiceName, in_force: &InForce) {
-        let catalogue = in_force.catalogues.get(service);
-        let Some((snapshot, shards)) = catalogue.and_then(|catalogue| catalogue.newest()) else {
-            return;
-        };
-        let resolved = shards.iter().map(|(shard, ids)| ShardReplicas {
-            shard: *shard,
-            replicas: ids.iter().filter_map(|id| self.indices.get(id).copied()).collect(),
-        });
-        self.newest.insert(service.clone(), (snapshot, Arc::new(resolved.collect())));
+    /// Takes the members.
+    pub fn set_members(&mut self, view: &MemberView) {
+        self.table.set_members(view);
     }
+
+    /// Returns the directory as it is now.
+    pub fn directory(&self) -> Directory {
+        Directory { places: Arc::clone(&self.places), owners: self.table.owners() }
+    }
+
+    /// Returns the number of an upstream, which stays the same while the process runs.
+    fn index_of(&mut self, id: &UpstreamId) -> UpstreamIndex {
+        let next = UpstreamIndex::try_from(self.indices.len()).unwrap_or(UpstreamIndex::MAX);
+        *self.indices.entry(id.clone()).or_insert(next)
+    }
+}
+
+fn resolve_snapshot(places: &mut UpstreamPlaces, service: &ServiceName, in_force: &InForce) {
+    let catalogue = in_force.catalogues.get(service);
+    let Some((snapshot, shards)) = catalogue.and_then(|catalogue| catalogue.newest()) else {
+        return;
+    };
+    let resolved = shards.iter().map(|(shard, ids)| ShardReplicas {
+        shard: *shard,
+        replicas: ids.iter().filter_map(|id| places.indices.get(id).copied()).collect(),
+    });
+    let resolved = Arc::new(resolved.collect());
+    places.newest.insert(service.clone(), (snapshot, resolved));
 }
--- a/crates/papayastack/src/routing/mod.rs
+++ b/crates/papayastack/src/routing/mod.rs
@@ -2,9 +2,13 @@
 //! query pins.
 
 mod directory;
+mod owners;
 mod rendezvous;
 #[cfg(test)]
 mod tests;
 
-pub use directory::{Directory, ShardReplicas, UpstreamIndex, UpstreamPlace, UpstreamRegistry};
+pub use directory::{
+    Directory, DirectorySource, ShardReplicas, UpstreamIndex, UpstreamPlace, UpstreamPlaces,
+};
+pub use owners::{GroupNumber, OWNERS_KEPT, OwnerPlace, OwnerTable, Owners};
 pub use rendezvous::{direct_share, owner_order};
--- /dev/null
+++ b/crates/papayastack/src/routing/owners.rs
@@ -0,0 +1,252 @@
+//! The owners of all upstreams, kept up to date as VMs come and go.
+//!
+//! Rendezvous hashing in two levels: VMs of the upstream's own data centre come first, then those
+//! of the other data centres in an order that each upstream draws for itself. A change of members
+//! costs one hash for each upstream of that data centre, and a whole ranking only for the
+//! upstreams that lost an owner.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use papayastack_macros::value;
+use twox_hash::XxHash3_64;
+
+use super::directory::UpstreamIndex;
+use crate::ids::{DataCentreName, UpstreamId, VmAddress};
+use crate::membership::MemberView;
+
+/// Owners kept for each upstream: the owner and those that take over in turn.
+pub const OWNERS_KEPT: usize = 3;
+
+/// Numbers a VM address within one table.
+type VmNumber = u32;
+/// Numbers a data centre within one table.
+pub type GroupNumber = usize;
+
+/// Finds an upstream's owners in [`Owners`].
+#[value]
+#[derive(Copy)]
+pub struct OwnerPlace {
+    group: GroupNumber,
+    position: usize,
+}
+
+/// The owners at one moment; a copy shares what has not changed.
+#[derive(Debug, Clone, Default)]
+pub struct Owners {
+    groups: Vec<Arc<Vec<Ranking>>>,
+    addresses: Arc<Vec<VmAddress>>,
+}
+
+impl Owners {
+    /// Iterates over the VMs that may own an upstream, the owner first.
+    pub fn of(&self, place: OwnerPlace) -> impl Iterator<Item = VmAddress> + '_ {
+        let ranking = self.groups.get(place.group).and_then(|group| group.get(place.position));
+        let candidates = ranking.map_or(&[][..], |ranking| ranking.as_slice());
+        candidates.iter().map(|candidate| self.addresses[candidate.vm as usize])
+    }
+}
+
+/// The table from which [`Owners`] are taken.
+#[derive(Debug, Default)]
+pub struct OwnerTable {
+    numbers: BTreeMap<VmAddress, VmNumber>,
+    addresses: Arc<Vec<VmAddress>>,
+    group_numbers: BTreeMap<DataCentreName, GroupNumber>,
+    groups: Vec<Group>,
+}
+
+#[derive(Debug, Default)]
+struct Group {
+    hash: u64,
+    vms: BTreeSet<VmNumber>,
+    upstreams: Vec<(UpstreamIndex, u64)>,
+    rankings: Arc<Vec<Ranking>>,
+}
+
+/// The best candidates of one upstream, best first.
+type Ranking = Vec<Candidate>;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Candidate {
+    rank: u64,
+    vm: VmNumber,
+}
+
+impl OwnerTable {
+    /// Starts without upstreams and VMs.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes the upstreams of a configuration and returns where their owners are found.
+    pub fn set_upstreams<'a>(
+        &mut self,
+        upstreams: impl Iterator<Item = (UpstreamIndex, &'a UpstreamId, &'a DataCentreName)>,
+    ) -> BTreeMap<UpstreamIndex, OwnerPlace> {
+        let mut listed: Vec<Vec<(UpstreamIndex, u64)>> = vec![Vec::new(); self.groups.len()];
+        let mut places = BTreeMap::new();
+        for (index, id, data_centre) in upstreams {
+            let group = self.group_number(data_centre);
+            listed.resize(self.groups.len(), Vec::new());
+            let place = OwnerPlace { group, position: listed[group].len() };
+            places.insert(index, place);
+            listed[group].push((index, XxHash3_64::oneshot(id.as_bytes())));
+        }
+        for (group, upstreams) in listed.into_iter().enumerate() {
+            if self.groups[group].upstreams != upstreams {
+                self.groups[group].upstreams = upstreams;
+                self.rank_group(group);
+            }
+        }
+        places
+    }
+
+    /// Takes the members that take new work.
+    pub fn set_members(&mut self, view: &MemberView) {
+        let mut live: Vec<BTreeSet<VmNumber>> = vec![BTreeSet::new(); self.groups.len()];
+        for member in view.live() {
+            let group = self.group_number(&member.data_centre);
+            live.resize(self.groups.len(), BTreeSet::new());
+            live[group].insert(self.vm_number(member.identity.address));
+        }
+        let before: Vec<BTreeSet<VmNumber>> = self
+            .groups
+            .iter_mut()
+            .zip(live)
+            .map(|(group, vms)| std::mem::replace(&mut group.vms, vms))
+            .collect();
+        let changed = self.groups.iter().zip(&before).any(|(group, old)| group.vms != *old);
+        for (group, old) in before.iter().enumerate() {
+            self.update_group(group, old, changed);
+        }
+    }
+
+    /// Returns the owners as they are now.
+    pub fn owners(&self) -> Owners {
+        Owners {
+            groups: self.groups.iter().map(|group| Arc::clone(&group.rankings)).collect(),
+            addresses: Arc::clone(&self.addresses),
+        }
+    }
+
+    fn update_group(&mut self, group: GroupNumber, old: &BTreeSet<VmNumber>, any_changed: bool) {
+        let vms = &self.groups[group].vms;
+        // With fewer VMs than owners, the ranking also depends on the other data centres.
+        if vms.len() < OWNERS_KEPT || old.len() < OWNERS_KEPT {
+            if any_changed {
+                self.rank_group(group);
+            }
+            return;
+        }
+        let removed: Vec<VmNumber> = old.difference(vms).copied().collect();
+        let added: Vec<VmNumber> = vms.difference(old).copied().collect();
+        if removed.is_empty() && added.is_empty() {
+            return;
+        }
+        let group = &mut self.groups[group];
+        let rankings = Arc::make_mut(&mut group.rankings);
+        for (ranking, (_, upstream)) in rankings.iter_mut().zip(&group.upstreams) {
+            if ranking.iter().any(|candidate| removed.contains(&candidate.vm)) {
+                *ranking = best(*upstream, group.vms.iter().copied(), &self.addresses);
+            } else {
+                insert_all(ranking, *upstream, &added, &self.addresses);
+            }
+        }
+    }
+
+    fn rank_group(&mut self, group: GroupNumber) {
+        let rankings =
+            self.groups[group].upstreams.iter().map(|(_, hash)| self.rank(*hash, group)).collect();
+        self.groups[group].rankings = Arc::new(rankings);
+    }
+
+    /// Ranks from scratch: the own data centre, then others until enough candidates are found.
+    fn rank(&self, upstream: u64, own: GroupNumber) -> Ranking {
+        let mut ranking = self.best_of(upstream, own);
+        if ranking.len() >= OWNERS_KEPT {
+            return ranking;
+        }
+        let mut others: Vec<(u64, GroupNumber)> = (0..self.groups.len())
+            .filter(|group| *group != own && !self.groups[*group].vms.is_empty())
+            .map(|group| (mix(upstream, self.groups[group].hash), group))
+            .collect();
+        others.sort_unstable();
+        for (_, group) in others {
+            ranking.extend(self.best_of(upstream, group));
+            if ranking.len() >= OWNERS_KEPT {
+                break;
+            }
+        }
+        ranking.truncate(OWNERS_KEPT);
+        ranking
+    }
+
+    fn best_of(&self, upstream: u64, group: GroupNumber) -> Ranking {
+        best(upstream, self.groups[group].vms.iter().copied(), &self.addresses)
+    }
+
+    fn group_number(&mut self, data_centre: &DataCentreName) -> GroupNumber {
+        if let Some(number) = self.group_numbers.get(data_centre) {
+            return *number;
+        }
+        let number = self.groups.len();
+        let hash = XxHash3_64::oneshot(data_centre.as_bytes());
+        self.groups.push(Group { hash, ..Group::default() });
+        self.group_numbers.insert(data_centre.clone(), number);
+        number
+    }
+
+    fn vm_number(&mut self, address: VmAddress) -> VmNumber {
+        if let Some(number) = self.numbers.get(&address) {
+            return *number;
+        }
+        let number = VmNumber::try_from(self.addresses.len()).unwrap_or(VmNumber::MAX);
+        Arc::make_mut(&mut self.addresses).push(address);
+        self.numbers.insert(address, number);
+        number
+    }
+}
+
+/// Returns the best candidates among `vms`, best first.
+fn best(upstream: u64, vms: impl Iterator<Item = VmNumber>, addresses: &[VmAddress]) -> Ranking {
+    let mut ranking = Ranking::with_capacity(OWNERS_KEPT + 1);
+    for vm in vms {
+        insert(&mut ranking, candidate(upstream, vm, addresses));
+    }
+    ranking
+}
+
+fn insert_all(ranking: &mut Ranking, upstream: u64, added: &[VmNumber], addresses: &[VmAddress]) {
+    for vm in added {
+        insert(ranking, candidate(upstream, *vm, addresses));
+    }
+}
+
+/// Keeps the best candidates in order.
+fn insert(ranking: &mut Ranking, candidate: Candidate) {
+    let position = ranking.partition_point(|other| other < &candidate);
+    if position < OWNERS_KEPT {
+        ranking.insert(position, candidate);
+        ranking.truncate(OWNERS_KEPT);
+    }
+}
+
+fn candidate(upstream: u64, vm: VmNumber, addresses: &[VmAddress]) -> Candidate {
+    Candidate { rank: mix(upstream, address_hash(&addresses[vm as usize])), vm }
+}
+
+/// Hashes an address by its bytes, so that all VMs agree whatever numbers they give.
+fn address_hash(address: &VmAddress) -> u64 {
+    let mut bytes = [0; 18];
+    match address.ip() {
+        std::net::IpAddr::V4(ip) => bytes[..4].copy_from_slice(&ip.octets()),
+        std::net::IpAddr::V6(ip) => bytes[..16].copy_from_slice(&ip.octets()),
+    }
+    bytes[16..].copy_from_slice(&address.port().to_be_bytes());
+    XxHash3_64::oneshot(&bytes)
+}
+
+fn mix(upstream: u64, other: u64) -> u64 {
+    XxHash3_64::oneshot_with_seed(upstream, &other.to_le_bytes())
+}
--- a/crates/papayastack/src/routing/tests.rs
+++ b/crates/papayastack/src/routing/tests.rs
@@ -1,7 +1,11 @@
 //! Tests of ownership.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
 use super::*;
 use crate::membership::{Member, MemberState, MemberView, VmIdentity};
 
@@ -62,3 +66,60 @@
     assert_eq!(direct_share(3, 4), 1);
     assert_eq!(direct_share(40, 4), 10);
 }
+
+/// Collects the owners of `count` upstreams as a table knows them.
+fn owners_in(table: &OwnerTable, places: &BTreeMap<u32, OwnerPlace>) -> Vec<Vec<SocketAddr>> {
+    let owners = table.owners();
+    places.values().map(|place| owners.of(*place).collect()).collect()
+}
+
+fn places_in(table: &mut OwnerTable, count: u32) -> BTreeMap<u32, OwnerPlace> {
+    let ids: Vec<String> = (0..count).map(|number| format!("upstream-{number}")).collect();
+    let data_centres = ["a".to_owned(), "b".to_owned(), "c".to_owned()];
+    let upstreams = ids
+        .iter()
+        .enumerate()
+        .map(|(number, id)| (number as u32, id, &data_centres[number % data_centres.len()]));
+    table.set_upstreams(upstreams)
+}
+
+/// A table that follows changes agrees with one that starts from scratch, whatever the order.
+#[test]
+fn a_table_that_follows_changes_equals_a_fresh_one() {
+    let mut random = StdRng::seed_from_u64(3);
+    let mut following = OwnerTable::new();
+    let places = places_in(&mut following, 60);
+    let mut members: BTreeMap<u16, Member> = BTreeMap::new();
+
+    for _ in 0..200 {
+        let port = random.random_range(1..25);
+        if members.remove(&port).is_none() {
+            members.insert(port, member(port, ["a", "b", "c"][usize::from(port) % 3]));
+        }
+        let view = view(&members.values().cloned().collect::<Vec<_>>());
+        following.set_members(&view);
+
+        let mut fresh = OwnerTable::new();
+        fresh.set_members(&view);
+        let fresh_places = places_in(&mut fresh, 60);
+        assert_eq!(owners_in(&following, &places), owners_in(&fresh, &fresh_places));
+    }
+}
+
+#[test]
+fn the_table_prefers_the_data_centre_and_falls_back_to_others() {
+    let mut table = OwnerTable::new();
+    let places = places_in(&mut table, 30);
+
+    table.set_members(&view(&[member(1, "a"), member(2, "b"), member(3, "b"), member(4, "b")]));
+
+    for (number, owners) in owners_in(&table, &places).into_iter().enumerate() {
+        let ports: BTreeSet<u16> = owners.iter().map(SocketAddr::port).collect();
+        assert_eq!(ports.len(), OWNERS_KEPT, "three different VMs");
+        match number % 3 {
+            0 => assert_eq!(owners[0].port(), 1, "the only VM of data centre a"),
+            1 => assert_eq!(ports, BTreeSet::from([2, 3, 4])),
+            _ => {}
+        }
+    }
+}
--- a/crates/papayastack/src/vm/desk.rs
+++ b/crates/papayastack/src/vm/desk.rs
@@ -116,11 +116,7 @@
         let span = self.owner_span(&batch);
         let batch = Arc::new(OwnedBatch { request: batch, span });
         for item in &batch.request.items {
-            let place = directory
-                .indices
-                .get(&item.upstream)
-                .and_then(|index| Some((*index, directory.upstreams.get(index)?)));
-            let Some((upstream, place)) = place else {
+            let Some((upstream, place)) = directory.named(&item.upstream) else {
                 self.refuse(
                     source,
                     batch.request.query,
--- a/crates/papayastack/src/vm/directory_task.rs
+++ b/crates/papayastack/src/vm/directory_task.rs
@@ -7,7 +7,7 @@
 
 use crate::configuration::InForce;
 use crate::membership::MemberView;
-use crate::routing::{Directory, UpstreamRegistry};
+use crate::routing::{Directory, DirectorySource};
 
 /// Spawns the task; it ends with its sources.
 pub(crate) fn spawn_directory_task(
@@ -16,17 +16,28 @@
 ) -> (watch::Receiver<Arc<Directory>>, JoinHandle<()>) {
     let (sender, receiver) = watch::channel(Arc::new(Directory::default()));
     let task = tokio::spawn(async move {
-        let mut registry = UpstreamRegistry::default();
+        let mut source = DirectorySource::new();
+        if let Some(current) = in_force.borrow_and_update().clone() {
+            source.set_in_force(&current);
+        }
+        source.set_members(&members.borrow_and_update().clone());
         loop {
-            let current = in_force.borrow_and_update().clone();
-            let view = Arc::clone(&members.borrow_and_update());
-            if let Some(current) = current {
-                let directory = Directory::resolve(&current, &view, &mut registry);
-                sender.send_replace(Arc::new(directory));
-            }
+            sender.send_replace(Arc::new(source.directory()));
             tokio::select! {
-                changed = in_force.changed() => if changed.is_err() { return },
-                changed = members.changed() => if changed.is_err() { return },
+                changed = in_force.changed() => {
+                    if changed.is_err() {
+                        return;
+                    }
+                    if let Some(current) = in_force.borrow_and_update().clone() {
+                        source.set_in_force(&current);
+                    }
+                }
+                changed = members.changed() => {
+                    if changed.is_err() {
+                        return;
+                    }
+                    source.set_members(&members.borrow_and_update().clone());
+                }
             }
         }
     });
--- a/crates/papayastack/src/vm/query_run.rs
+++ b/crates/papayastack/src/vm/query_run.rs
@@ -112,7 +112,7 @@
 
     fn newer_snapshot_is_known(&self) -> bool {
         let directory = self.shared.directory.borrow();
-        let newest = directory.newest.get(&self.spec.service);
+        let newest = directory.places.newest.get(&self.spec.service);
         newest.is_some_and(|(snapshot, _)| *snapshot > self.spec.snapshot)
     }
 
@@ -197,7 +197,7 @@
         sends: &mut BTreeMap<Target, Vec<SearchItem>>,
     ) {
         let target = self.target_of(upstream);
-        let Some(place) = self.directory.upstreams.get(&upstream) else {
+        let Some(place) = self.directory.places.by_index.get(&upstream) else {
             self.undelivered.push_back(attempt);
             return;
         };
@@ -211,14 +211,16 @@
         if self.spec.routing.policy != RoutingPolicy::Owner {
             return Target::Desk;
         }
+        let Some(place) = self.directory.places.by_index.get(&upstream) else {
+            return Target::Desk;
+        };
         let now = Instant::now();
-        let owners = self.directory.upstreams.get(&upstream).map(|place| place.owners.as_slice());
-        let owner = owners
-            .unwrap_or_default()
-            .iter()
-            .find(|owner| **owner == self.shared.address || !self.shared.hub.is_down(owner, now));
+        let owner = self
+            .directory
+            .owners_of(place)
+            .find(|owner| *owner == self.shared.address || !self.shared.hub.is_down(owner, now));
         match owner {
-            Some(owner) if *owner != self.shared.address => Target::Peer(*owner),
+            Some(owner) if owner != self.shared.address => Target::Peer(owner),
             _ => Target::Desk,
         }
     }
