Shrink the directory: names shared, rankings of fixed size

Cause: the directory took 33 MB at 50,000 upstreams, more than the whole control budget of 32 MB: three copies of each name, a service name for each upstream, a heap block for each ranking. Ruled out: leaving out the map by name, which every sub-request from a peer needs. Change: names are shared between the maps; a ranking is an array of three.

--- a/crates/papayastack/src/routing/directory.rs
+++ b/crates/papayastack/src/routing/directory.rs
@@ -27,9 +27,9 @@
 #[value]
 pub struct UpstreamPlace {
     /// The upstream's name across VMs.
-    pub id: UpstreamId,
+    pub id: Arc<str>,
     /// The service that it belongs to.
-    pub service: ServiceName,
+    pub service: Arc<str>,
     /// Its HTTP address.
     pub address: SocketAddr,
     /// Concurrent requests that it takes.
@@ -45,7 +45,7 @@
     /// The upstreams by number.
     pub by_index: BTreeMap<UpstreamIndex, UpstreamPlace>,
     /// The numbers of the upstreams by name.
-    pub indices: BTreeMap<UpstreamId, UpstreamIndex>,
+    pub indices: BTreeMap<Arc<str>, UpstreamIndex>,
     /// The newest snapshot of each service with its shards.
     pub newest: BTreeMap<ServiceName, (SnapshotVersion, Arc<Vec<ShardReplicas>>)>,
 }
@@ -61,7 +61,7 @@
 
 impl Directory {
     /// Returns an upstream with its number.
-    pub fn named(&self, id: &UpstreamId) -> Option<(UpstreamIndex, &UpstreamPlace)> {
+    pub fn named(&self, id: &str) -> Option<(UpstreamIndex, &UpstreamPlace)> {
         let index = *self.places.indices.get(id)?;
         Some((index, self.places.by_index.get(&index)?))
     }
@@ -75,7 +75,7 @@
 /// Resolves the directory again as configuration and members change.
 #[derive(Debug, Default)]
 pub struct DirectorySource {
-    indices: BTreeMap<UpstreamId, UpstreamIndex>,
+    indices: BTreeMap<Arc<str>, UpstreamIndex>,
     table: OwnerTable,
     places: Arc<UpstreamPlaces>,
 }
@@ -92,18 +92,21 @@
         let mut located = Vec::new();
         for settings in in_force.settings.services.values() {
             for (id, upstream) in &settings.upstreams {
-                let index = self.index_of(id);
-                places.indices.insert(id.clone(), index);
+                let (id, index) = self.named_index(id);
+                places.indices.insert(Arc::clone(&id), index);
                 located.push((index, id, &upstream.data_centre));
             }
         }
-        let owners = self.table.set_upstreams(located.into_iter());
+        let owners = self.table.set_upstreams(
+            located.iter().map(|(index, id, data_centre)| (*index, id.as_ref(), *data_centre)),
+        );
+        let mut located = located.into_iter();
         for (service, settings) in &in_force.settings.services {
-            for (id, upstream) in &settings.upstreams {
-                let index = places.indices[id];
+            let name: Arc<str> = Arc::from(service.as_str());
+            for (upstream, (index, id, _)) in settings.upstreams.values().zip(&mut located) {
                 let place = UpstreamPlace {
-                    id: id.clone(),
-                    service: service.clone(),
+                    id,
+                    service: Arc::clone(&name),
                     address: upstream.address,
                     slots: settings.slots_per_upstream,
                     owners: owners[&index],
@@ -125,10 +128,15 @@
         Directory { places: Arc::clone(&self.places), owners: self.table.owners() }
     }
 
-    /// Returns the number of an upstream, which stays the same while the process runs.
-    fn index_of(&mut self, id: &UpstreamId) -> UpstreamIndex {
-        let next = UpstreamIndex::try_from(self.indices.len()).unwrap_or(UpstreamIndex::MAX);
-        *self.indices.entry(id.clone()).or_insert(next)
+    /// Returns the name and the number of an upstream, which stay the same while the process runs.
+    fn named_index(&mut self, id: &UpstreamId) -> (Arc<str>, UpstreamIndex) {
+        if let Some((id, index)) = self.indices.get_key_value(id.as_str()) {
+            return (Arc::clone(id), *index);
+        }
+        let id: Arc<str> = Arc::from(id.as_str());
+        let index = UpstreamIndex::try_from(self.indices.len()).unwrap_or(UpstreamIndex::MAX);
+        self.indices.insert(Arc::clone(&id), index);
+        (id, index)
     }
 }
 
@@ -139,7 +147,7 @@
     };
     let resolved = shards.iter().map(|(shard, ids)| ShardReplicas {
         shard: *shard,
-        replicas: ids.iter().filter_map(|id| places.indices.get(id).copied()).collect(),
+        replicas: ids.iter().filter_map(|id| places.indices.get(id.as_str()).copied()).collect(),
     });
     let resolved = Arc::new(resolved.collect());
     places.newest.insert(service.clone(), (snapshot, resolved));
--- a/crates/papayastack/src/routing/owners.rs
+++ b/crates/papayastack/src/routing/owners.rs
@@ -12,7 +12,7 @@
 use twox_hash::XxHash3_64;
 
 use super::directory::UpstreamIndex;
-use crate::ids::{DataCentreName, UpstreamId, VmAddress};
+use crate::ids::{DataCentreName, VmAddress};
 use crate::membership::MemberView;
 
 /// Owners kept for each upstream: the owner and those that take over in turn.
@@ -65,14 +65,52 @@
 }
 
 /// The best candidates of one upstream, best first.
-type Ranking = Vec<Candidate>;
+#[derive(Debug, Clone, Copy, Default)]
+struct Ranking {
+    candidates: [Candidate; OWNERS_KEPT],
+    len: u8,
+}
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
 struct Candidate {
     rank: u64,
     vm: VmNumber,
 }
 
+impl Ranking {
+    fn as_slice(&self) -> &[Candidate] {
+        &self.candidates[..usize::from(self.len)]
+    }
+
+    fn is_full(&self) -> bool {
+        usize::from(self.len) == OWNERS_KEPT
+    }
+
+    /// Keeps the best candidates in order.
+    fn insert(&mut self, candidate: Candidate) {
+        let len = usize::from(self.len);
+        let position = self.as_slice().partition_point(|other| other < &candidate);
+        if position == OWNERS_KEPT {
+            return;
+        }
+        let end = (len + 1).min(OWNERS_KEPT);
+        self.candidates[position..end].rotate_right(1);
+        self.candidates[position] = candidate;
+        self.len = end as u8;
+    }
+
+    /// Puts candidates that are less near behind the others.
+    fn append(&mut self, other: &Self) {
+        for candidate in other.as_slice() {
+            if self.is_full() {
+                return;
+            }
+            self.candidates[usize::from(self.len)] = *candidate;
+            self.len += 1;
+        }
+    }
+}
+
 impl OwnerTable {
     /// Starts without upstreams and VMs.
     pub fn new() -> Self {
@@ -82,7 +120,7 @@
     /// Takes the upstreams of a configuration and returns where their owners are found.
     pub fn set_upstreams<'a>(
         &mut self,
-        upstreams: impl Iterator<Item = (UpstreamIndex, &'a UpstreamId, &'a DataCentreName)>,
+        upstreams: impl Iterator<Item = (UpstreamIndex, &'a str, &'a DataCentreName)>,
     ) -> BTreeMap<UpstreamIndex, OwnerPlace> {
         let mut listed: Vec<Vec<(UpstreamIndex, u64)>> = vec![Vec::new(); self.groups.len()];
         let mut places = BTreeMap::new();
@@ -147,7 +185,7 @@
         let group = &mut self.groups[group];
         let rankings = Arc::make_mut(&mut group.rankings);
         for (ranking, (_, upstream)) in rankings.iter_mut().zip(&group.upstreams) {
-            if ranking.iter().any(|candidate| removed.contains(&candidate.vm)) {
+            if ranking.as_slice().iter().any(|candidate| removed.contains(&candidate.vm)) {
                 *ranking = best(*upstream, group.vms.iter().copied(), &self.addresses);
             } else {
                 insert_all(ranking, *upstream, &added, &self.addresses);
@@ -164,7 +202,7 @@
     /// Ranks from scratch: the own data centre, then others until enough candidates are found.
     fn rank(&self, upstream: u64, own: GroupNumber) -> Ranking {
         let mut ranking = self.best_of(upstream, own);
-        if ranking.len() >= OWNERS_KEPT {
+        if ranking.is_full() {
             return ranking;
         }
         let mut others: Vec<(u64, GroupNumber)> = (0..self.groups.len())
@@ -173,12 +211,8 @@
             .collect();
         others.sort_unstable();
         for (_, group) in others {
-            ranking.extend(self.best_of(upstream, group));
-            if ranking.len() >= OWNERS_KEPT {
-                break;
-            }
+            ranking.append(&self.best_of(upstream, group));
         }
-        ranking.truncate(OWNERS_KEPT);
         ranking
     }
 
@@ -210,25 +244,16 @@
 
 /// Returns the best candidates among `vms`, best first.
 fn best(upstream: u64, vms: impl Iterator<Item = VmNumber>, addresses: &[VmAddress]) -> Ranking {
-    let mut ranking = Ranking::with_capacity(OWNERS_KEPT + 1);
+    let mut ranking = Ranking::default();
     for vm in vms {
-        insert(&mut ranking, candidate(upstream, vm, addresses));
+        ranking.insert(candidate(upstream, vm, addresses));
     }
     ranking
 }
 
 fn insert_all(ranking: &mut Ranking, upstream: u64, added: &[VmNumber], addresses: &[VmAddress]) {
     for vm in added {
-        insert(ranking, candidate(upstream, *vm, addresses));
-    }
-}
-
-/// Keeps the best candidates in order.
-fn insert(ranking: &mut Ranking, candidate: Candidate) {
-    let position = ranking.partition_point(|other| other < &candidate);
-    if position < OWNERS_KEPT {
-        ranking.insert(position, candidate);
-        ranking.truncate(OWNERS_KEPT);
+        ranking.insert(candidate(upstream, *vm, addresses));
     }
 }
 
--- a/crates/papayastack/src/routing/tests.rs
+++ b/crates/papayastack/src/routing/tests.rs
@@ -76,10 +76,9 @@
 fn places_in(table: &mut OwnerTable, count: u32) -> BTreeMap<u32, OwnerPlace> {
     let ids: Vec<String> = (0..count).map(|number| format!("upstream-{number}")).collect();
     let data_centres = ["a".to_owned(), "b".to_owned(), "c".to_owned()];
-    let upstreams = ids
-        .iter()
-        .enumerate()
-        .map(|(number, id)| (number as u32, id, &data_centres[number % data_centres.len()]));
+    let upstreams = ids.iter().enumerate().map(|(number, id)| {
+        (number as u32, id.as_str(), &data_centres[number % data_centres.len()])
+    });
     table.set_upstreams(upstreams)
 }
 
--- a/crates/papayastack/src/vm/query_run.rs
+++ b/crates/papayastack/src/vm/query_run.rs
@@ -201,7 +201,7 @@
             self.undelivered.push_back(attempt);
             return;
         };
-        let item = SearchItem { attempt, shard, upstream: place.id.clone() };
+        let item = SearchItem { attempt, shard, upstream: place.id.to_string() };
         self.targets.insert(attempt, target);
         sends.entry(target).or_default().push(item);
     }
--- a/crates/papayastack/src/vm/upstream_sender.rs
+++ b/crates/papayastack/src/vm/upstream_sender.rs
@@ -34,7 +34,7 @@
 
     fn candidates(&self, service: &str) -> Vec<SocketAddr> {
         let directory = Arc::clone(&self.directory.borrow());
-        let places = directory.places.by_index.values().filter(|place| place.service == service);
+        let places = directory.places.by_index.values().filter(|place| *place.service == *service);
         let mut addresses: Vec<SocketAddr> = places.map(|place| place.address).collect();
         addresses.shuffle(&mut StdRng::from_os_rng());
         addresses.truncate(UPSTREAMS_TRIED_MAX);
