Count cancelled queries, slots and upstream connections

The metrics page promised them, but a query that its caller gave up was never counted, because its future is dropped, and the gauges of slots and connections stayed at zero.

--- a/crates/papayastack/src/dispatch/gate.rs
+++ b/crates/papayastack/src/dispatch/gate.rs
@@ -103,6 +103,11 @@
         self.limits = limits;
     }
 
+    /// Returns the slots that may be used at once.
+    pub fn slots(&self) -> u32 {
+        self.limits.slots
+    }
+
     /// Takes a sub-request or refuses it at once.
     pub fn offer(&mut self, item: Waiting, now: Instant) -> OfferResult {
         if self.closed {
--- a/crates/papayastack/src/upstream/client.rs
+++ b/crates/papayastack/src/upstream/client.rs
@@ -1,6 +1,8 @@
 //! The client of the upstreams' HTTP interface.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -14,6 +16,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use super::connector::CountingConnector;
 use super::protocol::{CancelRequest, SearchReply, SearchRequest, SubmitReply, SubmitRequest};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -29,7 +32,8 @@
 /// the attempt does, and counts replies that do not match.
 #[derive(Debug, Clone)]
 pub struct UpstreamClient {
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: Client<CountingConnector, Full<Bytes>>,
+    connections: Arc<AtomicU64>,
 }
 
 impl UpstreamClient {
@@ -38,12 +42,19 @@
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        let connector = CountingConnector::new(connector);
+        let connections = connector.open_connections();
         let client = Client::builder(TokioExecutor::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
             .pool_max_idle_per_host(idle_max_per_upstream)
             .pool_timer(TokioTimer::new())
             .build(connector);
-        Self { client }
+        Self { client, connections }
+    }
+
+    /// Returns how many connections to upstreams are open, idle ones included.
+    pub fn connections(&self) -> u64 {
+        self.connections.load(Ordering::Relaxed)
     }
 
     /// Searches one shard, waiting up to `limit` for the reply.
--- a/crates/papayastack/src/upstream/mod.rs
+++ b/crates/papayastack/src/upstream/mod.rs
@@ -1,7 +1,10 @@
 //! Upstreams: their protocol and the client that speaks it.
 
 mod client;
+mod connector;
 mod protocol;
+#[cfg(test)]
+mod tests;
 
 pub use client::{UpstreamClient, UpstreamError};
 pub use protocol::{
--- a/crates/papayastack/src/vm/desk.rs
+++ b/crates/papayastack/src/vm/desk.rs
@@ -84,6 +84,10 @@
     pub(crate) waiting: usize,
     /// Sub-requests that hold a slot.
     pub(crate) running: usize,
+    /// Slots of the upstreams that have had work, as far as they are limited.
+    pub(crate) slots: u64,
+    /// Open connections to upstreams.
+    pub(crate) connections: u64,
 }
 
 impl UpstreamDesk {
@@ -177,10 +181,20 @@
     pub(crate) fn counts(&self) -> DeskCounts {
         let state = lock(&self.inner.state);
         let gates = state.gates.values().map(|entry| &entry.gate);
-        let (waiting, running) = gates.fold((0, 0), |(waiting, running), gate| {
-            (waiting + gate.waiting_len(), running + gate.running_len())
-        });
-        DeskCounts { waiting, running }
+        let mut counts = DeskCounts {
+            waiting: 0,
+            running: 0,
+            slots: 0,
+            connections: self.inner.client.connections(),
+        };
+        for gate in gates {
+            counts.waiting += gate.waiting_len();
+            counts.running += gate.running_len();
+            if gate.slots() != u32::MAX {
+                counts.slots += u64::from(gate.slots());
+            }
+        }
+        counts
     }
 
     fn offer(
--- a/crates/papayastack/src/vm/entry.rs
+++ b/crates/papayastack/src/vm/entry.rs
@@ -11,12 +11,15 @@
 use crate::caller::{QueryAnswer, QueryRequest, RefusalAnswer, RequestContext};
 use crate::configuration::InForce;
 use crate::ids::ServiceName;
-use crate::observe::{ActiveSpan, Hop, QueryOutcome, SpanIds};
-use crate::outcome::{Answer, Custody, MissingReason, Refusal, RefusalReason};
+use crate::observe::{ActiveSpan, Hop, Metrics, QueryOutcome, SpanIds};
+use crate::outcome::{Answer, Coverage, Custody, MissingReason, Refusal, RefusalReason};
 use crate::query::{FanoutCounts, FanoutSpec};
 use crate::routing::Directory;
 use crate::settings::{ClassSettings, QueryClass};
 
+#[cfg(test)]
+mod tests;
+
 /// The hits returned where the caller names no limit.
 const HITS_LIMIT_DEFAULT: u32 = 100;
 /// The shortest time in which a query can be answered.
@@ -33,6 +36,7 @@
     let request_id = context.request_id.clone();
     let class = request.class;
     let accepted_at = context.accepted_at;
+    let record = QueryRecord { metrics: &shared.metrics, class, accepted_at, ended: false };
     let (span, context) = entry_span(shared, &request, context);
     let result = run_query(shared, request, &context).await;
     let elapsed = accepted_at.elapsed();
@@ -43,7 +47,7 @@
             (QueryOutcome::of_refusal(refusal), None)
         }
     };
-    shared.metrics.query_ended(class, outcome, elapsed, coverage);
+    record.end(outcome, elapsed, coverage);
     span.end(outcome.name());
     let elapsed_ms = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
     match result {
@@ -52,6 +56,30 @@
     }
 }
 
+/// Counts a query when it ends; dropped before, the caller gave it up.
+struct QueryRecord<'a> {
+    metrics: &'a Metrics,
+    class: QueryClass,
+    accepted_at: Instant,
+    ended: bool,
+}
+
+impl QueryRecord<'_> {
+    fn end(mut self, outcome: QueryOutcome, elapsed: Duration, coverage: Option<&Coverage>) {
+        self.ended = true;
+        self.metrics.query_ended(self.class, outcome, elapsed, coverage);
+    }
+}
+
+impl Drop for QueryRecord<'_> {
+    fn drop(&mut self) {
+        if !self.ended {
+            let elapsed = self.accepted_at.elapsed();
+            self.metrics.query_ended(self.class, QueryOutcome::Cancelled, elapsed, None);
+        }
+    }
+}
+
 /// Starts the entry's span; the returned context passes it on to the next hop.
 fn entry_span(
     shared: &Shared,
--- a/crates/papayastack/src/vm/service.rs
+++ b/crates/papayastack/src/vm/service.rs
@@ -103,11 +103,12 @@
 impl OperatorService for VmService {
     fn metrics(&self) -> String {
         let shared = &self.shared;
-        let counts = shared.counts();
+        let desk = shared.desk.counts();
         shared.metrics.set_dispatch(&DispatchLevels {
-            waiting: counts.sub_requests_waiting as u64,
-            slots_busy: counts.sub_requests_running as u64,
-            ..DispatchLevels::default()
+            waiting: desk.waiting as u64,
+            slots_busy: desk.running as u64,
+            slots: desk.slots,
+            connections: desk.connections,
         });
         shared.metrics.set_members(&shared.members.borrow());
         shared.metrics.set_configuration_version(shared.configuration_version());
