Load submissions, and compare what callers were told with what ran

Cause: 'at most once' and 'not run' had no measure under load. Change: a load stream of the class submission gives each request a key of its own; after the run the executions of all upstreams are compared by key with what each caller was told: run twice, run though 'not run', not run though done. The report names platform updates per submission. A run starts when every VM names all VMs, in place of a fixed pause.

--- a/crates/papayastack-load/src/arrivals.rs
+++ b/crates/papayastack-load/src/arrivals.rs
@@ -2,11 +2,12 @@
 
 use std::time::Duration;
 
-use papayastack::{QueryRequest, Selection};
+use papayastack::{QueryRequest, Selection, SubmissionRequest};
 use papayastack_standin::{ServiceShape, document_key, vocabulary};
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
+use serde_json::json;
 
 use crate::experiment::{Load, LooksFor};
 
@@ -16,12 +17,22 @@
 pub(crate) struct Arrival {
     /// The time after the start of the run.
     pub(crate) at: Duration,
-    /// The query.
-    pub(crate) query: QueryRequest,
+    /// The request.
+    pub(crate) work: Work,
     /// Whether the answer is compared with the naive search.
     pub(crate) checked: bool,
 }
 
+/// A planned request.
+pub(crate) enum Work {
+    Query(QueryRequest),
+    /// A submission; the time of issue becomes part of its key when it is sent.
+    Submission {
+        unique: String,
+        request: SubmissionRequest,
+    },
+}
+
 /// The arrivals of one load, in the order of time, without end.
 pub(crate) struct Arrivals {
     load: Load,
@@ -30,6 +41,8 @@
     checked_permille: u32,
     random: StdRng,
     at: Duration,
+    stream: u64,
+    count: u64,
 }
 
 impl Arrivals {
@@ -48,9 +61,36 @@
             checked_permille,
             random: StdRng::seed_from_u64(seed.rotate_left(17) ^ stream),
             at: Duration::ZERO,
+            stream,
+            count: 0,
         }
     }
 
+    fn work(&mut self) -> Work {
+        self.count += 1;
+        let Some(class) = self.load.class.query_class() else {
+            return self.submission();
+        };
+        Work::Query(QueryRequest {
+            service: self.load.service.clone(),
+            class,
+            selection: self.selection(),
+            deadline_ms: Some(self.load.deadline_ms),
+            hits_limit: Some(self.load.hits_limit),
+        })
+    }
+
+    fn submission(&self) -> Work {
+        let unique = format!("{}-{}", self.stream, self.count);
+        let request = SubmissionRequest {
+            service: self.load.service.clone(),
+            key: None,
+            body: json!({ "number": self.count }),
+            deadline_ms: Some(self.load.deadline_ms),
+        };
+        Work::Submission { unique, request }
+    }
+
     fn selection(&mut self) -> Selection {
         match self.load.looks_for {
             LooksFor::Terms => {
@@ -73,14 +113,8 @@
     fn next(&mut self) -> Option<Arrival> {
         let uniform: f64 = 1.0 - self.random.random::<f64>();
         self.at += Duration::from_secs_f64(-uniform.ln() / f64::from(self.load.rate_per_s));
-        let query = QueryRequest {
-            service: self.load.service.clone(),
-            class: self.load.class,
-            selection: self.selection(),
-            deadline_ms: Some(self.load.deadline_ms),
-            hits_limit: Some(self.load.hits_limit),
-        };
+        let work = self.work();
         let checked = self.random.random_range(0..1_000) < self.checked_permille;
-        Some(Arrival { at: self.at, query, checked })
+        Some(Arrival { at: self.at, work, checked })
     }
 }
--- a/crates/papayastack-load/src/check.rs
+++ b/crates/papayastack-load/src/check.rs
@@ -6,10 +6,12 @@
 use papayastack_macros::value;
 use papayastack_standin::naive_search;
 
+use crate::tally::Told;
+
 /// The shards of every snapshot that a case publishes, by service.
 pub(crate) type KnownSnapshots = BTreeMap<(ServiceName, SnapshotVersion), BTreeSet<ShardId>>;
 
-/// Says in what an answer is wrong.
+/// Says in what an answer or the outcome of a submission is wrong.
 #[value]
 pub(crate) enum Wrong {
     /// It names a snapshot that was never published.
@@ -18,6 +20,12 @@
     Coverage,
     /// It differs from the naive answer over the shards that it says it covers.
     Content,
+    /// A submission ran more than once.
+    RanTwice,
+    /// A submission ran although its caller was told that it did not.
+    RanThoughNotRun,
+    /// A submission did not run although its caller was told that it did.
+    NotRunThoughDone,
 }
 
 impl Wrong {
@@ -27,6 +35,9 @@
             Self::UnknownSnapshot => "unknown_snapshot",
             Self::Coverage => "coverage",
             Self::Content => "content",
+            Self::RanTwice => "ran_twice",
+            Self::RanThoughNotRun => "ran_though_not_run",
+            Self::NotRunThoughDone => "not_run_though_done",
         }
     }
 }
@@ -59,3 +70,16 @@
     let expected = Answer::merge(query.service.clone(), coverage.clone(), &partials, limit);
     if expected.as_ref() == Ok(answer) { Ok(()) } else { Err(Wrong::Content) }
 }
+
+/// Compares what a caller was told of a submission with how often it ran.
+///
+/// # Errors
+/// The submission ran twice, or the caller was told something false.
+pub(crate) fn check_submission(told: Told, executions: u64) -> Result<(), Wrong> {
+    match (told, executions) {
+        (_, 2..) => Err(Wrong::RanTwice),
+        (Told::NotRun, 1) => Err(Wrong::RanThoughNotRun),
+        (Told::Done, 0) => Err(Wrong::NotRunThoughDone),
+        _ => Ok(()),
+    }
+}
--- a/crates/papayastack-load/src/client.rs
+++ b/crates/papayastack-load/src/client.rs
@@ -12,17 +12,22 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
-use papayastack::{QUERY_PATH, QueryAnswer, QueryRequest, RefusalAnswer};
+use papayastack::{
+    ADDRESSES_PATH, AddressesAnswer, QUERY_PATH, QueryAnswer, QueryRequest, RefusalAnswer,
+    SUBMISSIONS_PATH, SubmissionAnswer, SubmissionRequest,
+};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 const GRACE: Duration = Duration::from_secs(2);
 const AVOIDED: Duration = Duration::from_secs(2);
 const BODY_MAX_BYTES: usize = 16 * 1024 * 1024;
 
-/// What a query ended with.
+/// What a request ended with.
 #[derive(Debug)]
-pub(crate) enum Reply {
-    Answered(Box<QueryAnswer>),
+pub(crate) enum Reply<T> {
+    Answered(Box<T>),
     Refused(RefusalAnswer),
     Failed(String),
 }
@@ -48,17 +53,47 @@
     }
 
     /// Sends a query, which is idempotent, to one VM after the other until one replies.
-    pub(crate) async fn query(&self, query: &QueryRequest) -> Reply {
-        let Ok(body) = serde_json::to_vec(query) else {
-            return Reply::Failed("the query cannot be encoded".to_owned());
+    pub(crate) async fn query(&self, query: &QueryRequest) -> Reply<QueryAnswer> {
+        self.send(QUERY_PATH, query, query.deadline_ms).await
+    }
+
+    /// Sends a submission to one VM after the other until one replies; its key makes that safe.
+    pub(crate) async fn submit(&self, request: &SubmissionRequest) -> Reply<SubmissionAnswer> {
+        self.send(SUBMISSIONS_PATH, request, request.deadline_ms).await
+    }
+
+    /// Returns how many VMs the first VM names to callers.
+    ///
+    /// # Errors
+    /// The VM gives no list of addresses.
+    pub(crate) async fn known_vms(&self) -> Result<usize, String> {
+        let address = self.addresses[0];
+        let request = Request::get(format!("http://{address}{ADDRESSES_PATH}"))
+            .body(Full::default())
+            .map_err(|error| error.to_string())?;
+        match self.exchange::<AddressesAnswer>(request).await? {
+            Reply::Answered(answer) => Ok(answer.addresses.len()),
+            Reply::Refused(refused) => Err(refused.refusal.detail().to_owned()),
+            Reply::Failed(detail) => Err(detail),
+        }
+    }
+
+    async fn send<T: DeserializeOwned>(
+        &self,
+        path: &str,
+        request: &impl Serialize,
+        deadline_ms: Option<u64>,
+    ) -> Reply<T> {
+        let Ok(body) = serde_json::to_vec(request) else {
+            return Reply::Failed("the request cannot be encoded".to_owned());
         };
         let body = Bytes::from(body);
-        let limit = Duration::from_millis(query.deadline_ms.unwrap_or(0)) + GRACE;
+        let limit = Duration::from_millis(deadline_ms.unwrap_or(0)) + GRACE;
         let first = self.next.fetch_add(1, Ordering::Relaxed);
         let mut failure = String::new();
         for index in self.order(first) {
             let address = self.addresses[index];
-            match tokio::time::timeout(limit, self.post(address, body.clone())).await {
+            match tokio::time::timeout(limit, self.post(address, path, body.clone())).await {
                 Ok(Ok(reply)) => return reply,
                 Ok(Err(detail)) => failure = detail,
                 Err(_elapsed) => failure = format!("{address} gave no reply"),
@@ -68,13 +103,25 @@
         Reply::Failed(failure)
     }
 
-    async fn post(&self, address: SocketAddr, body: Bytes) -> Result<Reply, String> {
+    async fn post<T: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        body: Bytes,
+    ) -> Result<Reply<T>, String> {
         let request = Request::builder()
             .method(Method::POST)
-            .uri(format!("http://{address}{QUERY_PATH}"))
+            .uri(format!("http://{address}{path}"))
             .header(CONTENT_TYPE, "application/json")
             .body(Full::new(body))
             .map_err(|error| error.to_string())?;
+        self.exchange(request).await
+    }
+
+    async fn exchange<T: DeserializeOwned>(
+        &self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Reply<T>, String> {
         let response = self.client.request(request).await.map_err(|error| error.to_string())?;
         let status = response.status();
         let body = Limited::new(response.into_body(), BODY_MAX_BYTES)
--- a/crates/papayastack-load/src/experiment.rs
+++ b/crates/papayastack-load/src/experiment.rs
@@ -93,15 +93,15 @@
     }
 }
 
-/// A stream of queries.
+/// A stream of requests.
 #[message]
 #[serde(deny_unknown_fields)]
 pub(crate) struct Load {
     /// The service.
     pub(crate) service: ServiceName,
     /// The class.
-    pub(crate) class: QueryClass,
-    /// Queries per second on average; arrivals are random and do not wait for answers.
+    pub(crate) class: LoadClass,
+    /// Requests per second on average; arrivals are random and do not wait for answers.
     pub(crate) rate_per_s: u32,
     /// The deadline in milliseconds.
     #[serde(default = "deadline_default_ms")]
@@ -114,6 +114,36 @@
     pub(crate) hits_limit: u32,
 }
 
+/// The class of a stream of requests.
+#[closed_set]
+pub(crate) enum LoadClass {
+    /// Queries of the class of the same name.
+    Sweep,
+    /// Queries of the class of the same name.
+    Lookup,
+    /// Queries of the class of the same name.
+    Archive,
+    /// Submissions, each with a key of its own.
+    Submission,
+}
+
+impl LoadClass {
+    /// Returns the class of the queries; `None` for submissions.
+    pub(crate) fn query_class(self) -> Option<QueryClass> {
+        match self {
+            Self::Sweep => Some(QueryClass::Sweep),
+            Self::Lookup => Some(QueryClass::Lookup),
+            Self::Archive => Some(QueryClass::Archive),
+            Self::Submission => None,
+        }
+    }
+
+    /// Returns the name in the report.
+    pub(crate) fn name(self) -> &'static str {
+        self.query_class().map_or("submission", QueryClass::name)
+    }
+}
+
 /// What a stream of queries looks for.
 #[closed_set]
 #[derive(Default)]
@@ -237,6 +267,7 @@
             let path = format!("{path}.load[{index}]");
             self.check_service(&format!("{path}.service"), &load.service, &services)?;
             load.check(&path)?;
+            self.check_submissions(&path, load)?;
             requests += u64::from(load.rate_per_s) * run_s;
         }
         check(requests <= REQUESTS_MAX, &format!("{path}.load"), "at most 2000000 requests a run")?;
@@ -246,6 +277,14 @@
         Ok(())
     }
 
+    fn check_submissions(&self, path: &str, load: &Load) -> Result<(), ExperimentError> {
+        let shapes = self.place.services();
+        let accepts =
+            shapes.iter().any(|shape| shape.name == load.service && shape.accepts_submissions);
+        let fits = load.class != LoadClass::Submission || accepts;
+        check(fits, &format!("{path}.class"), "this service accepts no submissions")
+    }
+
     fn check_fault(
         &self,
         path: &str,
--- a/crates/papayastack-load/src/report.rs
+++ b/crates/papayastack-load/src/report.rs
@@ -3,11 +3,11 @@
 use std::collections::BTreeMap;
 use std::fmt::Write;
 
-use papayastack::{QueryClass, RoutingPolicy, ServiceName};
+use papayastack::{RoutingPolicy, ServiceName};
 use papayastack_standin::PlatformCounts;
 use serde::Serialize;
 
-use crate::experiment::{Case, Experiment};
+use crate::experiment::{Case, Experiment, LoadClass};
 use crate::run::RunResult;
 use crate::tally::Tally;
 
@@ -27,7 +27,7 @@
     pub(crate) case: String,
     pub(crate) policy: RoutingPolicy,
     /// Searches received by upstreams over those that the answered queries needed; absent where
-    /// the upstreams run elsewhere.
+    /// the upstreams run elsewhere, and without answered queries.
     pub(crate) extra_load: Option<f64>,
     pub(crate) streams: Vec<StreamReport>,
     /// Processor time of each VM over the measured time, in cores.
@@ -35,6 +35,8 @@
     /// The resident memory of the whole process, stand-ins and load included, in bytes.
     pub(crate) resident_bytes: u64,
     pub(crate) upstreams: Option<UpstreamReport>,
+    /// Updates of platform objects per submission; absent without submissions.
+    pub(crate) updates_per_submission: Option<f64>,
     /// Calls to the platform during the measured time, by kind.
     pub(crate) platform_calls: BTreeMap<&'static str, u64>,
     pub(crate) fault_errors: Vec<String>,
@@ -59,7 +61,7 @@
 #[derive(Debug, Serialize)]
 pub(crate) struct StreamReport {
     pub(crate) service: ServiceName,
-    pub(crate) class: QueryClass,
+    pub(crate) class: LoadClass,
     pub(crate) offered_per_s: f64,
     pub(crate) arrived: u64,
     pub(crate) complete: u64,
@@ -97,11 +99,12 @@
         self.runs.push(RunReport {
             case: case.name.clone(),
             policy: result.policy,
-            extra_load: result.sent.map(|sent| sent as f64 / result.needed.max(1) as f64),
+            extra_load: extra_load(result),
             streams: streams.collect(),
             vm_cores: vm_cores(result, duration_s),
             resident_bytes: result.resident_bytes,
             upstreams: upstream_report(result),
+            updates_per_submission: updates_per_submission(case, result),
             platform_calls: platform_calls(result),
             fault_errors: result.fault_errors.clone(),
         });
@@ -138,6 +141,13 @@
         }
         text.push('\n');
         for run in &self.runs {
+            if let Some(updates) = run.updates_per_submission {
+                let _ = writeln!(
+                    text,
+                    "- {}, {:?}: {updates:.3} platform updates per submission",
+                    run.case, run.policy
+                );
+            }
             for error in &run.fault_errors {
                 let _ = writeln!(text, "- {}, {:?}: fault failed {error}", run.case, run.policy);
             }
@@ -147,7 +157,7 @@
 }
 
 impl StreamReport {
-    fn new(service: ServiceName, class: QueryClass, tally: &Tally, duration_s: f64) -> Self {
+    fn new(service: ServiceName, class: LoadClass, tally: &Tally, duration_s: f64) -> Self {
         let at = |quantile: f64| tally.latency_us.value_at_quantile(quantile) as f64 / 1_000.0;
         Self {
             service,
@@ -176,9 +186,13 @@
 fn markdown_row(run: &RunReport, stream: &StreamReport) -> String {
     let refused: u64 = stream.refused.values().sum();
     let wrong: u64 = stream.wrong.values().sum();
+    let shards_covered = match stream.class {
+        LoadClass::Submission => "-".to_owned(),
+        _ => format!("{:.3}%", 100.0 * stream.shards_covered),
+    };
     let mean_cores = run.vm_cores.iter().sum::<f64>() / run.vm_cores.len().max(1) as f64;
     format!(
-        "| {} | {} | {}, {} | {:.1} | {:.1} | {:.1} | {:.1} | {:.2}% | {} | {:.3}% | {} | {} | {} | \
+        "| {} | {} | {}, {} | {:.1} | {:.1} | {:.1} | {:.1} | {:.2}% | {} | {} | {} | {} | {} | \
          {} | {}/{} | {:.2} |",
         run.case,
         format!("{:?}", run.policy).to_lowercase(),
@@ -190,7 +204,7 @@
         stream.p999_ms,
         100.0 * stream.complete as f64 / stream.arrived.max(1) as f64,
         stream.partial,
-        100.0 * stream.shards_covered,
+        shards_covered,
         refused,
         stream.failed + stream.dropped,
         stream.late,
@@ -201,6 +215,11 @@
     )
 }
 
+fn extra_load(result: &RunResult) -> Option<f64> {
+    let sent = result.sent?;
+    (result.needed > 0).then(|| sent as f64 / result.needed as f64)
+}
+
 fn vm_cores(result: &RunResult, duration_s: f64) -> Vec<f64> {
     let Some((begin, end)) = &result.counts else {
         return Vec::new();
@@ -227,6 +246,17 @@
     })
 }
 
+fn updates_per_submission(case: &Case, result: &RunResult) -> Option<f64> {
+    let (begin, end) = result.counts.as_ref()?;
+    let streams = case.load.iter().zip(&result.tallies);
+    let submissions: u64 = streams
+        .filter(|(load, _)| load.class == LoadClass::Submission)
+        .map(|(_, tally)| tally.answers())
+        .sum();
+    let updates = end.platform.updates.saturating_sub(begin.platform.updates);
+    (submissions > 0).then(|| updates as f64 / submissions as f64)
+}
+
 fn platform_calls(result: &RunResult) -> BTreeMap<&'static str, u64> {
     let Some((begin, end)) = &result.counts else {
         return BTreeMap::new();
--- a/crates/papayastack-load/src/run.rs
+++ b/crates/papayastack-load/src/run.rs
@@ -2,19 +2,19 @@
 
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use papayastack::RoutingPolicy;
+use papayastack::{QueryRequest, RoutingPolicy, SubmissionRequest};
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, sleep_until};
 
-use crate::arrivals::{Arrival, Arrivals};
+use crate::arrivals::{Arrival, Arrivals, Work};
 use crate::check::{KnownSnapshots, check_answer};
 use crate::client::{Caller, Reply};
 use crate::experiment::{Case, Experiment, Load, TimedFault};
 use crate::resources::resident_bytes;
 use crate::system::{System, SystemCounts};
-use crate::tally::{Tally, shards_named};
+use crate::tally::{Tally, Told, shards_named};
 
 const PROGRESS_INTERVAL: Duration = Duration::from_secs(1);
 const LAST_REPLIES_TIMEOUT: Duration = Duration::from_secs(30);
@@ -100,7 +100,11 @@
     let sent = before
         .zip(system.counts())
         .map(|(before, after)| after.searches_received() - before.searches_received());
+    let executions = system.executions();
     system.close().await;
+    for stream in 0..case.load.len() {
+        shared.tally(stream).compare_submissions(&executions);
+    }
     let tallies = (0..case.load.len()).map(|stream| shared.tally(stream).clone()).collect();
     Ok(RunResult {
         policy,
@@ -139,31 +143,75 @@
     deadline: Duration,
     measured: bool,
 ) {
-    let reply = shared.caller.query(&arrival.query).await;
-    let latency = (shared.start + arrival.at).elapsed();
+    let place = Place { stream, at: shared.start + arrival.at, deadline, measured };
+    match &arrival.work {
+        Work::Query(query) => exchange_query(shared, query, arrival.checked, &place).await,
+        Work::Submission { unique, request } => {
+            let key = submission_key(shared.seed, unique);
+            let request = SubmissionRequest { key: Some(key), ..request.clone() };
+            exchange_submission(shared, &request, &place).await;
+        }
+    }
+}
+
+/// Where the result of a request is counted.
+struct Place {
+    stream: usize,
+    at: Instant,
+    deadline: Duration,
+    measured: bool,
+}
+
+async fn exchange_query(shared: &Shared, query: &QueryRequest, checked: bool, place: &Place) {
+    let reply = shared.caller.query(query).await;
+    let latency = place.at.elapsed();
     if let Reply::Answered(answer) = &reply {
         shared.needed.fetch_add(shards_named(&answer.answer), Ordering::Relaxed);
     }
-    if !measured {
+    if !place.measured {
         return;
     }
     match reply {
         Reply::Answered(answer) => {
-            let compared = arrival.checked.then(|| {
+            let compared = checked.then(|| {
                 let known = shared.known.lock().expect("no holder of the lock panics").clone();
-                check_answer(shared.seed, &arrival.query, &answer.answer, &known)
+                check_answer(shared.seed, query, &answer.answer, &known)
             });
-            let mut tally = shared.tally(stream);
-            tally.answered(&answer.answer, latency, deadline);
+            let mut tally = shared.tally(place.stream);
+            tally.answered(&answer.answer, latency, place.deadline);
             if let Some(result) = compared {
                 tally.compared(result);
             }
         }
-        Reply::Refused(refused) => shared.tally(stream).refused(&refused.refusal),
-        Reply::Failed(_) => shared.tally(stream).failed += 1,
+        Reply::Refused(refused) => shared.tally(place.stream).refused(&refused.refusal),
+        Reply::Failed(_) => shared.tally(place.stream).failed += 1,
+    }
+}
+
+async fn exchange_submission(shared: &Shared, request: &SubmissionRequest, place: &Place) {
+    let reply = shared.caller.submit(request).await;
+    let latency = place.at.elapsed();
+    let mut tally = shared.tally(place.stream);
+    let told = match &reply {
+        Reply::Answered(_) => Told::Done,
+        Reply::Refused(refused) => refused.refusal.certainty().into(),
+        Reply::Failed(_) => Told::Unknown,
+    };
+    // The warm-up's submissions are compared with what ran as well.
+    tally.told.insert(request.key.clone().unwrap_or_default(), told);
+    match reply {
+        _ if !place.measured => {}
+        Reply::Answered(_) => tally.submitted(latency, place.deadline),
+        Reply::Refused(refused) => tally.refused(&refused.refusal),
+        Reply::Failed(_) => tally.failed += 1,
     }
 }
 
+fn submission_key(seed: u64, unique: &str) -> String {
+    let issued = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    format!("{}-{seed}-{unique}", issued.as_millis())
+}
+
 /// Carries out the faults at their times and returns the counts at the begin of the measurement.
 async fn drive_faults(
     system: &mut System,
--- a/crates/papayastack-load/src/system.rs
+++ b/crates/papayastack-load/src/system.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use papayastack::{HttpPlatform, QueryRequest, RoutingPolicy, Selection, ServiceName};
+use papayastack::{HttpPlatform, QueryClass, QueryRequest, RoutingPolicy, Selection, ServiceName};
 use papayastack_standin::{
     PlaceOptions, PlaceStandin, PlatformCounts, PlatformStandin, ServiceShape, UpstreamCounts,
     document_key, publish_bundle,
@@ -19,7 +19,6 @@
 
 const READY_TIMEOUT: Duration = Duration::from_secs(30);
 const READY_PAUSE: Duration = Duration::from_millis(50);
-const SETTLE: Duration = Duration::from_secs(2);
 
 /// A system that takes load.
 pub(crate) struct System {
@@ -103,6 +102,11 @@
         })
     }
 
+    /// Returns how often each submission key ran.
+    pub(crate) fn executions(&self) -> BTreeMap<String, u64> {
+        self.inside.as_ref().map(|inside| inside.place.executions()).unwrap_or_default()
+    }
+
     /// Carries out a fault.
     ///
     /// # Errors
@@ -166,9 +170,9 @@
             for load in &case.load {
                 let query = QueryRequest {
                     service: load.service.clone(),
-                    class: load.class,
+                    class: load.class.query_class().unwrap_or(QueryClass::Sweep),
                     selection: Selection::Key(document_key(&load.service, 0, 0)),
-                    deadline_ms: Some(load.deadline_ms),
+                    deadline_ms: None,
                     hits_limit: Some(1),
                 };
                 wait_for_answer(&caller, &query, end)
@@ -176,8 +180,25 @@
                     .map_err(|last| format!("{address} is not ready: {last}"))?;
             }
         }
-        // The VMs learn of each other within one look at the platform.
-        tokio::time::sleep(SETTLE).await;
+        self.wait_for_members(end).await
+    }
+
+    /// Waits until every VM knows all of them, so that ownership does not move any more.
+    async fn wait_for_members(&self, end: Instant) -> Result<(), String> {
+        let count = self.addresses.len();
+        for address in &self.addresses {
+            let caller = Caller::open(vec![*address]);
+            loop {
+                let known = caller.known_vms().await?;
+                if known >= count {
+                    break;
+                }
+                if Instant::now() > end {
+                    return Err(format!("{address} knows {known} of {count} VMs"));
+                }
+                tokio::time::sleep(READY_PAUSE).await;
+            }
+        }
         Ok(())
     }
 }
--- a/crates/papayastack-load/src/tally.rs
+++ b/crates/papayastack-load/src/tally.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use hdrhistogram::Histogram;
-use papayastack::Answer;
+use papayastack::{Answer, Certainty};
 
-use crate::check::Wrong;
+use crate::check::{Wrong, check_submission};
 
 const LATENCY_MAX_US: u64 = 600_000_000;
 const PRECISION_DIGITS: u8 = 3;
@@ -29,6 +29,25 @@
     pub(crate) shards_named: u64,
     pub(crate) shards_answered: u64,
     pub(crate) latency_us: Histogram<u64>,
+    /// What the caller was told of each submission, by key.
+    pub(crate) told: BTreeMap<String, Told>,
+}
+
+/// What a caller was told of a submission.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Told {
+    Done,
+    NotRun,
+    Unknown,
+}
+
+impl From<Certainty> for Told {
+    fn from(certainty: Certainty) -> Self {
+        match certainty {
+            Certainty::NotRun => Self::NotRun,
+            Certainty::OutcomeUnknown => Self::Unknown,
+        }
+    }
 }
 
 impl Tally {
@@ -50,6 +69,7 @@
             shards_named: 0,
             shards_answered: 0,
             latency_us,
+            told: BTreeMap::new(),
         }
     }
 
@@ -66,6 +86,24 @@
         for reason in coverage.missing().values() {
             *self.missing.entry(word(reason)).or_default() += 1;
         }
+        self.took(latency, deadline);
+    }
+
+    /// Counts a submission that is done.
+    pub(crate) fn submitted(&mut self, latency: Duration, deadline: Duration) {
+        self.complete += 1;
+        self.took(latency, deadline);
+    }
+
+    /// Compares what callers were told of submissions with what ran, by key.
+    pub(crate) fn compare_submissions(&mut self, executions: &BTreeMap<String, u64>) {
+        for (key, told) in std::mem::take(&mut self.told) {
+            let ran = executions.get(&key).copied().unwrap_or(0);
+            self.compared(check_submission(told, ran));
+        }
+    }
+
+    fn took(&mut self, latency: Duration, deadline: Duration) {
         self.late += u64::from(latency > deadline + LATE_MARGIN);
         let latency_us = u64::try_from(latency.as_micros()).unwrap_or(LATENCY_MAX_US);
         self.latency_us.saturating_record(latency_us.max(1));
--- a/crates/papayastack-load/src/tests.rs
+++ b/crates/papayastack-load/src/tests.rs
@@ -4,18 +4,18 @@
 use std::ffi::OsString;
 use std::time::Duration;
 
-use papayastack::{Answer, Coverage, MissingReason, QueryClass, QueryRequest, RoutingPolicy};
+use papayastack::{Answer, Coverage, MissingReason, QueryRequest, RoutingPolicy};
 use papayastack_standin::{Place, ServiceShape, naive_search};
 use pico_args::Arguments;
 
-use super::arrivals::{Arrival, Arrivals};
-use super::check::{KnownSnapshots, Wrong, check_answer};
-use super::experiment::{Experiment, Load, LooksFor};
+use super::arrivals::{Arrival, Arrivals, Work};
+use super::check::{KnownSnapshots, Wrong, check_answer, check_submission};
+use super::experiment::{Experiment, Load, LoadClass, LooksFor};
 use super::options::{Options, Request};
 use super::plot::latency_svg;
 use super::report::Report;
 use super::run::run_case;
-use super::tally::Tally;
+use super::tally::{Tally, Told};
 
 const SERVICE: &str = "batch-ledger";
 
@@ -26,7 +26,7 @@
 fn stream(looks_for: LooksFor) -> Load {
     Load {
         service: SERVICE.to_owned(),
-        class: QueryClass::Sweep,
+        class: LoadClass::Sweep,
         rate_per_s: 200,
         deadline_ms: 1_000,
         looks_for,
@@ -51,7 +51,14 @@
 }
 
 fn query() -> QueryRequest {
-    plan(1, LooksFor::Terms).remove(0).query
+    query_of(&plan(1, LooksFor::Terms)[0]).clone()
+}
+
+fn query_of(arrival: &Arrival) -> &QueryRequest {
+    match &arrival.work {
+        Work::Query(query) => query,
+        Work::Submission { .. } => panic!("a query was planned"),
+    }
 }
 
 fn known() -> KnownSnapshots {
@@ -82,7 +89,7 @@
 
     let times = |plan: &[Arrival]| plan.iter().map(|arrival| arrival.at).collect::<Vec<_>>();
     assert_eq!(times(&first), times(&again));
-    assert!(first.iter().zip(&again).all(|(left, right)| left.query == right.query));
+    assert!(first.iter().zip(&again).all(|(left, right)| query_of(left) == query_of(right)));
     assert_ne!(times(&first), times(&other));
 }
 
@@ -117,6 +124,18 @@
     assert_eq!(snapshot, Err(Wrong::UnknownSnapshot));
 }
 
+#[test]
+fn false_words_about_submissions_are_told_by_kind() {
+    assert_eq!(check_submission(Told::Done, 1), Ok(()));
+    assert_eq!(check_submission(Told::NotRun, 0), Ok(()));
+    assert_eq!(check_submission(Told::Unknown, 0), Ok(()));
+    assert_eq!(check_submission(Told::Unknown, 1), Ok(()));
+
+    assert_eq!(check_submission(Told::Unknown, 2), Err(Wrong::RanTwice));
+    assert_eq!(check_submission(Told::NotRun, 1), Err(Wrong::RanThoughNotRun));
+    assert_eq!(check_submission(Told::Done, 0), Err(Wrong::NotRunThoughDone));
+}
+
 #[test]
 fn the_tally_tells_complete_partial_and_late_apart() {
     let mut tally = Tally::new();
@@ -146,6 +165,10 @@
             load(r#""service":"batch-ledger","class":"sweep","rate_per_s":20001"#),
             "`cases[0].load[0].rate_per_s`",
         ),
+        (
+            load(r#""service":"batch-ledger","class":"submission","rate_per_s":1"#),
+            "`cases[0].load[0].class`",
+        ),
         (
             r#"{"cases":[{"name":"a","place":"armor","vms":{"running":{"addresses":["192.0.2.1:80"]}},
                 "load":[{"service":"batch-ledger","class":"sweep","rate_per_s":1}]}]}"#
