--- a/crates/papayastack-standin/src/control.rs
+++ b/crates/papayastack-standin/src/control/mod.rs
@@ -12,6 +12,9 @@
 //! | `POST /services/{name}/retire` | `{"snapshot": v}` | 204 |
 //! | `GET /executions` | | how often each submission key ran |
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/crates/papayastack-standin/src/main.rs
+++ b/crates/papayastack-standin/src/main.rs
@@ -1,12 +1,15 @@
 //! Runs the stand-in platform and all stand-in upstreams of one place in one process.
 
 mod options;
+#[cfg(test)]
+mod tests;
 
 use std::process::ExitCode;
 use std::sync::Arc;
 
 use papayastack::{HttpPlatform, ListedState, ListedVm};
 use papayastack_standin::{ControlStandin, PlaceOptions, PlaceStandin, PlatformStandin};
+use pico_args::Arguments;
 use serde_json::json;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::Mutex;
@@ -17,7 +20,7 @@
 const EXIT_USAGE: u8 = 2;
 
 fn main() -> ExitCode {
-    match Options::from_arguments() {
+    match Options::from_arguments(Arguments::from_env()) {
         Ok(Request::Help) => {
             print!("{HELP}");
             ExitCode::SUCCESS
--- a/crates/papayastack-standin/src/options.rs
+++ b/crates/papayastack-standin/src/options.rs
@@ -52,9 +52,8 @@
 }
 
 impl Options {
-    /// Reads the arguments of this process.
-    pub(crate) fn from_arguments() -> Result<Request, String> {
-        let mut arguments = Arguments::from_env();
+    /// Reads the arguments.
+    pub(crate) fn from_arguments(mut arguments: Arguments) -> Result<Request, String> {
         if arguments.contains(["-h", "--help"]) {
             return Ok(Request::Help);
         }
