--- a/crates/papayastack/src/configuration/document.rs
+++ b/crates/papayastack/src/configuration/document.rs
@@ -9,7 +9,7 @@
 use twox_hash::XxHash3_64;
 
 use super::message::{DocumentContent, DocumentUpdate};
-use crate::platform::{ObjectName, ObjectVersion};
+use crate::platform::{Object, ObjectName, ObjectVersion};
 
 /// Differences kept for peers that are a few versions behind.
 const STEPS_MAX: usize = 64;
@@ -27,6 +27,23 @@
     steps: VecDeque<Step>,
 }
 
+/// A version that may replace the one that is held.
+#[value]
+pub(crate) struct NewVersion {
+    /// The platform's version.
+    pub version: ObjectVersion,
+    /// The content.
+    pub value: Value,
+    /// What has changed since the version that is held, where that is known already.
+    pub changes: Option<Patch>,
+}
+
+impl From<Object> for NewVersion {
+    fn from(object: Object) -> Self {
+        Self { version: object.version, value: object.value, changes: None }
+    }
+}
+
 /// What changed from one adopted version to the next.
 #[value]
 struct Step {
@@ -53,9 +70,10 @@
     }
 
     /// Returns the document at a later version, keeping the differences that lead there.
-    pub(crate) fn advance(&self, version: ObjectVersion, value: Value) -> Self {
+    pub(crate) fn advance(&self, new: NewVersion) -> Self {
+        let NewVersion { version, value, changes } = new;
         let (checksum, size_bytes) = fingerprint(&value);
-        let changes = json_patch::diff(&self.value, &value);
+        let changes = changes.unwrap_or_else(|| json_patch::diff(&self.value, &value));
         let step = Step { from: self.version, size_bytes: json_size(&changes), changes };
         let mut steps = self.steps.clone();
         steps.push_back(step);
@@ -114,23 +132,25 @@
     }
 }
 
-/// Returns the whole content that `update` stands for.
+/// Returns the version that `update` stands for.
 ///
 /// # Errors
 /// A difference from another version than the one held, or a result with another checksum.
 pub(crate) fn content_of(
     held: Option<&Document>,
     update: &DocumentUpdate,
-) -> Result<Value, ApplyError> {
-    let value = match &update.content {
-        DocumentContent::Whole(value) => value.clone(),
+) -> Result<NewVersion, ApplyError> {
+    let (value, changes) = match &update.content {
+        DocumentContent::Whole(value) => (value.clone(), None),
         DocumentContent::Difference { base_version, changes } => {
             let held = held.filter(|held| held.version == *base_version);
-            apply(held.ok_or(ApplyError::OtherBase)?, changes)?
+            let value = apply(held.ok_or(ApplyError::OtherBase)?, changes)?;
+            (value, Some(changes.clone()))
         }
     };
     let (checksum, _) = fingerprint(&value);
-    if checksum == update.checksum { Ok(value) } else { Err(ApplyError::Damaged) }
+    let new = NewVersion { version: update.version, value, changes };
+    if checksum == update.checksum { Ok(new) } else { Err(ApplyError::Damaged) }
 }
 
 fn apply(held: &Document, changes: &Patch) -> Result<Value, ApplyError> {
--- a/crates/papayastack/src/configuration/gossip.rs
+++ b/crates/papayastack/src/configuration/gossip.rs
@@ -10,7 +10,7 @@
 use super::store::configuration_object;
 use super::watching::jittered;
 use crate::ids::VmAddress;
-use crate::platform::{Object, ObjectName, ObjectVersion};
+use crate::platform::{ObjectName, ObjectVersion};
 
 /// Peers that a VM tells of a version that it has adopted.
 const FAN_OUT: usize = 6;
@@ -103,9 +103,9 @@
             return;
         }
         match content_of(self.store.document(&name), &update) {
-            Ok(value) => {
+            Ok(new) => {
                 let wanted_before = self.store.wanted();
-                self.offer(&name, Object { version, value }, Some(from), now);
+                self.offer(&name, new, Some(from), now);
                 if self.store.wanted() == wanted_before {
                     self.acknowledge(from, &name, now);
                 } else {
--- a/crates/papayastack/src/configuration/machine.rs
+++ b/crates/papayastack/src/configuration/machine.rs
@@ -10,6 +10,7 @@
 use rand::rngs::SmallRng;
 
 use super::bundle::InForce;
+use super::document::NewVersion;
 use super::message::ConfigurationMessage;
 use super::peers::Peers;
 use super::store::{ConfigurationStore, Offer, RefusedDocument};
@@ -216,11 +217,11 @@
     pub(super) fn offer(
         &mut self,
         name: &ObjectName,
-        object: Object,
+        new: NewVersion,
         from: Option<VmAddress>,
         now: Instant,
     ) {
-        match self.store.offer(name, object.version, object.value) {
+        match self.store.offer(name, new) {
             Offer::Adopted => {
                 self.counters.adopted += 1;
                 self.asked.remove(name);
@@ -260,7 +261,7 @@
 
     fn on_object(&mut self, name: &ObjectName, object: Object, now: Instant) {
         if !self.is_starting(now) {
-            self.offer(name, object, None, now);
+            self.offer(name, object.into(), None, now);
         } else if object.version > self.known_version(name) {
             self.held_back.insert(name.clone(), object);
         }
@@ -276,7 +277,7 @@
             return;
         }
         for (name, object) in std::mem::take(&mut self.held_back) {
-            self.offer(&name, object, None, now);
+            self.offer(&name, object.into(), None, now);
         }
     }
 
--- a/crates/papayastack/src/configuration/store.rs
+++ b/crates/papayastack/src/configuration/store.rs
@@ -7,12 +7,12 @@
 use serde_json::Value;
 
 use super::bundle::{Bundle, CONFIGURATION_KIND, CONFIGURATION_NAME, InForce};
-use super::document::Document;
+use super::document::{Document, NewVersion};
 use super::message::HeldDocument;
 use crate::catalogue::{CATALOGUE_KIND, Catalogue};
 use crate::ids::{ServiceName, SiteName};
 use crate::platform::{ObjectName, ObjectVersion};
-use crate::settings::{Fault, Settings, SettingsFile, render};
+use crate::settings::{Fault, Settings, SettingsFile, render_if_all_right};
 
 /// Returns the name of the object that holds the bundle.
 pub fn configuration_object() -> ObjectName {
@@ -72,13 +72,9 @@
         }
     }
 
-    /// Adopts `value` if it is valid and its version the highest so far.
-    pub(crate) fn offer(
-        &mut self,
-        name: &ObjectName,
-        version: ObjectVersion,
-        value: Value,
-    ) -> Offer {
+    /// Adopts a version if it is valid and the highest so far.
+    pub(crate) fn offer(&mut self, name: &ObjectName, new: NewVersion) -> Offer {
+        let version = new.version;
         if !self.wants(name) {
             return Offer::NotWanted;
         }
@@ -86,13 +82,13 @@
             return Offer::NotNewer;
         }
         let judged = if name.kind == CONFIGURATION_KIND {
-            self.judge_bundle(&value).map(|settings| Judged::Settings(Arc::new(settings)))
+            self.judge_bundle(&new.value).map(|settings| Judged::Settings(Arc::new(settings)))
         } else {
-            judge_catalogue(&value).map(|catalogue| Judged::Catalogue(Arc::new(catalogue)))
+            judge_catalogue(&new.value).map(|catalogue| Judged::Catalogue(Arc::new(catalogue)))
         };
         match judged {
             Ok(judged) => {
-                self.adopt(name, version, value, judged);
+                self.adopt(name, new, judged);
                 Offer::Adopted
             }
             Err(faults) => {
@@ -161,17 +157,13 @@
         let bundle: Bundle = serde_path_to_error::deserialize(value).map_err(|error| {
             vec![malformed(&error, "write change_id, base and overlays through papayactl apply")]
         })?;
-        // Every site is judged, so that all VMs accept a version or all refuse it.
-        for site in bundle.overlays.keys().filter(|site| **site != self.site) {
-            render(&bundle, site)?;
-        }
-        render(&bundle, &self.site)
+        render_if_all_right(&bundle, &self.site)
     }
 
-    fn adopt(&mut self, name: &ObjectName, version: ObjectVersion, value: Value, judged: Judged) {
+    fn adopt(&mut self, name: &ObjectName, new: NewVersion, judged: Judged) {
         let document = match self.documents.get(name) {
-            Some(held) => held.advance(version, value),
-            None => Document::new(version, value),
+            Some(held) => held.advance(new),
+            None => Document::new(new.version, new.value),
         };
         self.documents.insert(name.clone(), document);
         match judged {
--- a/crates/papayastack/src/configuration/tests/store.rs
+++ b/crates/papayastack/src/configuration/tests/store.rs
@@ -3,24 +3,28 @@
 use proptest::prelude::*;
 use serde_json::{Value, json};
 
-use super::super::document::{ApplyError, Document, content_of};
+use super::super::document::{ApplyError, Document, NewVersion, content_of};
 use super::super::store::{ConfigurationStore, Offer};
 use super::super::*;
 use super::fleet::{broken_bundle, bundle, catalogue};
 use crate::settings::SettingsFile;
 
+fn new(version: u64, value: Value) -> NewVersion {
+    NewVersion { version, value, changes: None }
+}
+
 #[test]
 fn a_lower_version_is_never_adopted() {
     let mut store = ConfigurationStore::open("any".into());
     let name = configuration_object();
 
     let offers = [
-        store.offer(&name, 5, bundle(5)),
-        store.offer(&name, 4, bundle(4)),
-        store.offer(&name, 5, bundle(6)),
-        store.offer(&name, 7, broken_bundle(7)),
-        store.offer(&name, 6, bundle(6)),
-        store.offer(&name, 8, bundle(8)),
+        store.offer(&name, new(5, bundle(5))),
+        store.offer(&name, new(4, bundle(4))),
+        store.offer(&name, new(5, bundle(6))),
+        store.offer(&name, new(7, broken_bundle(7))),
+        store.offer(&name, new(6, bundle(6))),
+        store.offer(&name, new(8, bundle(8))),
     ];
 
     let expected = [
@@ -39,10 +43,10 @@
     let mut store = ConfigurationStore::open("any".into());
     let board = catalogue_object("board");
 
-    let before = store.offer(&board, 1, catalogue(1));
-    store.offer(&configuration_object(), 1, bundle(1));
-    let after = store.offer(&board, 1, catalogue(1));
-    let other = store.offer(&catalogue_object("other"), 1, catalogue(1));
+    let before = store.offer(&board, new(1, catalogue(1)));
+    store.offer(&configuration_object(), new(1, bundle(1)));
+    let after = store.offer(&board, new(1, catalogue(1)));
+    let other = store.offer(&catalogue_object("other"), new(1, catalogue(1)));
 
     assert_eq!((before, after, other), (Offer::NotWanted, Offer::Adopted, Offer::NotWanted));
 }
@@ -53,7 +57,7 @@
     let mut value = bundle(1);
     value["overlay"] = json!({});
 
-    let offer = store.offer(&configuration_object(), 1, value);
+    let offer = store.offer(&configuration_object(), new(1, value));
 
     assert_eq!(offer, Offer::Refused);
     let refused: Vec<&RefusedDocument> = store.refused().collect();
@@ -64,13 +68,13 @@
 #[test]
 fn a_service_that_is_removed_takes_its_catalogue_along() {
     let mut store = ConfigurationStore::open("any".into());
-    store.offer(&configuration_object(), 1, bundle(1));
-    store.offer(&catalogue_object("board"), 1, catalogue(1));
+    store.offer(&configuration_object(), new(1, bundle(1)));
+    store.offer(&catalogue_object("board"), new(1, catalogue(1)));
     let mut renamed = bundle(2);
     let board = renamed["base"]["services"]["board"].take();
     renamed["base"]["services"] = json!({"archive": board});
 
-    let offer = store.offer(&configuration_object(), 2, renamed);
+    let offer = store.offer(&configuration_object(), new(2, renamed));
 
     assert_eq!(offer, Offer::Adopted);
     assert!(store.in_force().unwrap().catalogues.is_empty());
@@ -109,7 +113,8 @@
         let name = configuration_object();
         let mut documents = vec![Document::new(1, contents[0].clone())];
         for (version, content) in (2..).zip(&contents[1..]) {
-            documents.push(documents[documents.len() - 1].advance(version, content.clone()));
+            let newest = &documents[documents.len() - 1];
+            documents.push(newest.advance(new(version, content.clone())));
         }
         let newest = &documents[documents.len() - 1];
         let peer = &documents[behind % documents.len()];
@@ -119,11 +124,11 @@
         let (for_peer, for_other) =
             (content_of(Some(peer), &update), content_of(Some(newest), &update));
 
-        prop_assert_eq!(for_peer.as_ref(), Ok(&*newest.value));
+        prop_assert_eq!(for_peer.map(|new| new.value), Ok(Value::clone(&newest.value)));
         if let DocumentContent::Difference { .. } = update.content {
             prop_assert_eq!(for_other, Err(ApplyError::OtherBase));
         }
         let whole = content_of(None, &newest.update_since(&name, None));
-        prop_assert_eq!(whole.as_ref(), Ok(&*newest.value));
+        prop_assert_eq!(whole.map(|new| new.value), Ok(Value::clone(&newest.value)));
     }
 }
--- a/crates/papayastack/src/settings/check.rs
+++ b/crates/papayastack/src/settings/check.rs
@@ -8,9 +8,9 @@
 use super::fault::Finding;
 use super::nearest::nearest_name;
 use super::pointer;
-use super::reference::{Kind, quoted, setting_at};
+use super::reference::{Kind, SettingNode, quoted};
 use super::schema::{ClassSettings, QueryClass, Settings};
-use crate::ids::{DataCentreName, UpstreamId};
+use crate::ids::DataCentreName;
 
 /// Names listed in a hint.
 const NAMES_IN_HINT_MAX: usize = 8;
@@ -18,7 +18,7 @@
 /// Finds numbers outside their range and empty names.
 pub(crate) fn check_ranges(document: &Value) -> Vec<Finding> {
     let mut findings = Vec::new();
-    visit(document, "", &mut findings);
+    visit(document, SettingNode::root(), &mut Vec::new(), &mut findings);
     findings
 }
 
@@ -34,16 +34,24 @@
     findings
 }
 
-fn visit(value: &Value, path: &str, findings: &mut Vec<Finding>) {
-    let Some(setting) = setting_at(path) else { return };
+fn visit<'a>(
+    value: &'a Value,
+    node: &SettingNode,
+    keys: &mut Vec<&'a str>,
+    findings: &mut Vec<Finding>,
+) {
+    let setting = node.setting;
     match (value, setting.kind) {
         (Value::Object(members), Kind::Section | Kind::Named(_)) => {
             for (key, member) in members {
-                let path = pointer::child(path, key);
+                keys.push(key);
                 if key.trim().is_empty() {
-                    findings.push(Finding::new(&path, "the name is empty", "write a name"));
+                    findings.push(empty_name(keys));
                 }
-                visit(member, &path, findings);
+                if let Some(node) = node.member(key) {
+                    visit(member, node, keys, findings);
+                }
+                keys.pop();
             }
         }
         (Value::Number(number), Kind::Number { min, max, .. }) => {
@@ -51,16 +59,20 @@
             if !in_range {
                 let problem = format!("{number} is out of range");
                 let hint = format!("write {}", setting.expectation());
-                findings.push(Finding::new(path, problem, hint));
+                findings.push(Finding::new(pointer::along(keys), problem, hint));
             }
         }
         (Value::String(name), Kind::Name) if name.trim().is_empty() => {
-            findings.push(Finding::new(path, "the name is empty", "write a name"));
+            findings.push(empty_name(keys));
         }
         _ => {}
     }
 }
 
+fn empty_name(keys: &[&str]) -> Finding {
+    Finding::new(pointer::along(keys), "the name is empty", "write a name")
+}
+
 fn check_presence(settings: &Settings, findings: &mut Vec<Finding>) {
     if settings.data_centres.is_empty() {
         let hint = "name at least one data centre with its region";
@@ -80,30 +92,35 @@
 }
 
 fn check_upstreams(settings: &Settings, findings: &mut Vec<Finding>) {
-    let mut paths: BTreeMap<SocketAddr, String> = BTreeMap::new();
-    let mut ids: BTreeMap<&UpstreamId, String> = BTreeMap::new();
+    let mut addresses: BTreeMap<SocketAddr, [&str; 2]> = BTreeMap::new();
+    let mut ids: BTreeMap<&str, [&str; 2]> = BTreeMap::new();
     for (service_name, service) in &settings.services {
-        let service_path = pointer::child("/services", service_name);
-        let upstreams_path = pointer::child(&service_path, "upstreams");
         for (id, upstream) in &service.upstreams {
-            let path = pointer::child(&upstreams_path, id);
+            let place = [service_name.as_str(), id.as_str()];
+            let address = upstream.address;
             if !settings.data_centres.contains_key(&upstream.data_centre) {
+                let path = upstream_path(place);
                 findings.push(unknown_data_centre(settings, &path, &upstream.data_centre));
             }
-            findings.extend(unusable_address(&path, upstream.address));
-            if let Some(other) = paths.insert(upstream.address, path.clone()) {
-                let problem = format!("{} is also the address of {other}", upstream.address);
-                let path = pointer::child(&path, "address");
+            findings.extend(unusable_address(place, address));
+            if let Some(other) = addresses.insert(address, place) {
+                let problem = format!("{address} is also the address of {}", upstream_path(other));
+                let path = pointer::child(&upstream_path(place), "address");
                 findings.push(Finding::new(path, problem, "give each upstream its own address"));
             }
-            if let Some(other) = ids.insert(id, path.clone()) {
-                let problem = format!("`{id}` is also the id of {other}");
+            if let Some(other) = ids.insert(id, place) {
+                let problem = format!("`{id}` is also the id of {}", upstream_path(other));
+                let path = upstream_path(place);
                 findings.push(Finding::new(path, problem, "give each upstream its own id"));
             }
         }
     }
 }
 
+fn upstream_path([service, id]: [&str; 2]) -> String {
+    pointer::along(&["services", service, "upstreams", id])
+}
+
 fn unknown_data_centre(settings: &Settings, upstream: &str, name: &DataCentreName) -> Finding {
     let known: Vec<&str> = settings.data_centres.keys().map(String::as_str).collect();
     let hint = match nearest_name(name, known.iter().copied()) {
@@ -117,7 +134,7 @@
     Finding::new(path, format!("the data centre `{name}` does not exist"), hint)
 }
 
-fn unusable_address(upstream: &str, address: SocketAddr) -> Option<Finding> {
+fn unusable_address(place: [&str; 2], address: SocketAddr) -> Option<Finding> {
     let problem = if address.port() == 0 {
         "the port is 0"
     } else if address.ip().is_unspecified() || address.ip().is_multicast() {
@@ -125,7 +142,7 @@
     } else {
         return None;
     };
-    let path = pointer::child(upstream, "address");
+    let path = pointer::child(&upstream_path(place), "address");
     Some(Finding::new(path, problem, "write the address that the upstream listens on"))
 }
 
--- a/crates/papayastack/src/settings/parse.rs
+++ b/crates/papayastack/src/settings/parse.rs
@@ -8,7 +8,7 @@
 use super::fault::Finding;
 use super::nearest::nearest_name;
 use super::pointer;
-use super::reference::{Kind, SETTINGS, Setting, setting_at};
+use super::reference::{Kind, SETTINGS, Setting, SettingNode, setting_at};
 use super::schema::Settings;
 
 /// Faults after which parsing stops.
@@ -42,21 +42,28 @@
 /// Finds sections that are not objects, which serde would partly accept as sequences.
 fn misplaced_sections(document: &Value) -> Vec<Finding> {
     let mut findings = Vec::new();
-    visit_sections(document, "", &mut findings);
+    visit_sections(document, SettingNode::root(), &mut Vec::new(), &mut findings);
     findings
 }
 
-fn visit_sections(value: &Value, path: &str, findings: &mut Vec<Finding>) {
-    let Some(setting) = setting_at(path) else { return };
-    if !matches!(setting.kind, Kind::Section | Kind::Named(_)) {
+fn visit_sections<'a>(
+    value: &'a Value,
+    node: &SettingNode,
+    keys: &mut Vec<&'a str>,
+    findings: &mut Vec<Finding>,
+) {
+    if !matches!(node.setting.kind, Kind::Section | Kind::Named(_)) {
         return;
     }
     let Value::Object(members) = value else {
-        findings.push(wrong_type(path, value, setting));
+        findings.push(wrong_type(&pointer::along(keys), value, node.setting));
         return;
     };
     for (key, member) in members {
-        visit_sections(member, &pointer::child(path, key), findings);
+        let Some(node) = node.member(key) else { continue };
+        keys.push(key);
+        visit_sections(member, node, keys, findings);
+        keys.pop();
     }
 }
 
--- a/crates/papayastack/src/settings/pointer.rs
+++ b/crates/papayastack/src/settings/pointer.rs
@@ -7,6 +7,11 @@
     format!("{parent}/{}", key.replace('~', "~0").replace('/', "~1"))
 }
 
+/// Joins keys to the pointer that leads along them.
+pub(crate) fn along(keys: &[&str]) -> String {
+    keys.iter().fold(String::new(), |parent, key| child(&parent, key))
+}
+
 /// Splits a pointer into its unescaped keys.
 pub(crate) fn keys(pointer: &str) -> impl Iterator<Item = String> + '_ {
     pointer.split('/').skip(1).map(|key| key.replace("~1", "/").replace("~0", "~"))
--- a/crates/papayastack/src/settings/reference.rs
+++ b/crates/papayastack/src/settings/reference.rs
@@ -1,5 +1,8 @@
 //! Every setting with its kind, unit and range; the checks and the reference page read it.
 
+use std::collections::BTreeMap;
+use std::sync::LazyLock;
+
 use serde_json::{Value, json};
 
 /// Milliseconds in a day.
@@ -310,9 +313,40 @@
     ),
 ];
 
+/// A setting with the settings below it.
+#[derive(Debug)]
+pub(crate) struct SettingNode {
+    /// The setting.
+    pub setting: &'static Setting,
+    members: BTreeMap<&'static str, SettingNode>,
+}
+
+impl SettingNode {
+    /// Returns the tree of all settings.
+    pub(crate) fn root() -> &'static Self {
+        static ROOT: LazyLock<SettingNode> = LazyLock::new(|| SettingNode::below(&SETTINGS[0]));
+        &ROOT
+    }
+
+    /// Returns the setting of the member `key`.
+    pub(crate) fn member(&self, key: &str) -> Option<&Self> {
+        self.members.get(key).or_else(|| self.members.get("*"))
+    }
+
+    fn below(setting: &'static Setting) -> Self {
+        let members = SETTINGS.iter().filter_map(|member| {
+            let (parent, name) = member.path.rsplit_once('/')?;
+            (parent == setting.path).then(|| (name, Self::below(member)))
+        });
+        Self { setting, members: members.collect() }
+    }
+}
+
 /// Returns the setting that describes the value at `pointer`.
 pub(crate) fn setting_at(pointer: &str) -> Option<&'static Setting> {
-    SETTINGS.iter().find(|setting| matches(setting.path, pointer))
+    let mut keys = pointer.split('/').skip(1);
+    let node = keys.try_fold(SettingNode::root(), |node, key| node.member(key))?;
+    Some(node.setting)
 }
 
 /// Joins names for a message, each in quotation marks.
@@ -320,16 +354,3 @@
     let names: Vec<String> = names.iter().map(|name| format!("`{name}`")).collect();
     names.join(", ")
 }
-
-fn matches(pattern: &str, pointer: &str) -> bool {
-    let mut keys = pointer.split('/');
-    let mut wanted = pattern.split('/');
-    loop {
-        match (wanted.next(), keys.next()) {
-            (None, None) => return true,
-            (Some("*"), Some(_)) => {}
-            (Some(left), Some(right)) if left == right => {}
-            _ => return false,
-        }
-    }
-}
--- a/crates/papayastack/src/settings/reference_page.rs
+++ b/crates/papayastack/src/settings/reference_page.rs
@@ -32,7 +32,7 @@
 ";
 
 /// Returns the shortest document that is accepted, with `*` for the operator's names.
-fn required_only() -> Value {
+pub(crate) fn required_only() -> Value {
     json!({
         "data_centres": {"*": {"region": "*"}},
         "services": {"*": {
--- a/crates/papayastack/src/settings/render.rs
+++ b/crates/papayastack/src/settings/render.rs
@@ -9,10 +9,14 @@
 use super::overlay::{check_overlay, touches};
 use super::parse::parse;
 use super::pointer;
+use super::reference_page::required_only;
 use super::schema::Settings;
 use crate::configuration::Bundle;
 use crate::ids::SiteName;
 
+/// The sections that grow with the number of upstreams.
+const DIRECTORY: [&str; 2] = ["data_centres", "services"];
+
 /// Renders the settings of `site`: the base, changed by the site's overlay where it has one.
 ///
 /// Returns every fault of the result.
@@ -25,6 +29,60 @@
     })
 }
 
+/// Renders the settings of `site` if those of every other site are right too.
+///
+/// Every VM comes to the same result, whatever its site. Data centres and services, by far the
+/// largest part, are judged once for all sites whose overlays leave them as they are.
+pub(crate) fn render_if_all_right(bundle: &Bundle, site: &str) -> Result<Settings, Vec<Fault>> {
+    let settings = render(bundle, site)?;
+    let mut base_is_judged = !changes_directory(bundle.overlays.get(site));
+    for (other, overlay) in bundle.overlays.iter().filter(|(other, _)| *other != site) {
+        if !changes_directory(Some(overlay)) && base_is_judged {
+            judge_policies(&bundle.base, (other, overlay))?;
+        } else {
+            render(bundle, other)?;
+            base_is_judged |= !changes_directory(Some(overlay));
+        }
+    }
+    judge_base(&bundle.base, base_is_judged)?;
+    Ok(settings)
+}
+
+/// Judges the base by itself, without its directory where that is judged already.
+fn judge_base(base: &Value, directory_is_judged: bool) -> Result<(), Vec<Fault>> {
+    let policies = directory_is_judged.then(|| policies_of(base));
+    let judged = settings_of(policies.as_ref().unwrap_or(base));
+    judged.map(|_| ()).map_err(|findings| {
+        findings.into_iter().map(|finding| blame(finding, base, None)).collect()
+    })
+}
+
+/// Returns whether an overlay changes data centres or services.
+fn changes_directory(overlay: Option<&Value>) -> bool {
+    overlay.is_some_and(|overlay| match overlay {
+        Value::Object(members) => DIRECTORY.iter().any(|section| members.contains_key(*section)),
+        _ => true,
+    })
+}
+
+/// Judges all settings of a site but its data centres and services.
+fn judge_policies(base: &Value, overlay: (&SiteName, &Value)) -> Result<(), Vec<Fault>> {
+    let judged = settings_of(&merge(&policies_of(base), Some(overlay.1)));
+    judged.map(|_| ()).map_err(|findings| {
+        findings.into_iter().map(|finding| blame(finding, base, Some(overlay))).collect()
+    })
+}
+
+/// Returns the base with the shortest directory in the place of its own.
+fn policies_of(base: &Value) -> Value {
+    let mut policies = required_only();
+    let members = base.as_object().into_iter().flatten();
+    for (name, section) in members.filter(|(name, _)| !DIRECTORY.contains(&name.as_str())) {
+        policies[name] = section.clone();
+    }
+    policies
+}
+
 /// Checks the base by itself and with each overlay; an empty list means that all is right.
 pub fn check(bundle: &Bundle) -> Vec<Fault> {
     let base = settings_of(&bundle.base);
--- a/crates/papayastack/src/settings/tests.rs
+++ b/crates/papayastack/src/settings/tests.rs
@@ -120,3 +120,50 @@
         leaves(member, &pointer::child(path, key), visit);
     }
 }
+
+#[test]
+fn one_wrong_site_makes_the_bundle_wrong_for_every_site() {
+    let directory = json!({"data_centres": {"b": null}});
+    let policy = json!({"routing": {"queue_max": 0}});
+    let right = json!({"routing": {"queue_max": 9}});
+    let moved = json!({"data_centres": {"b": {"region": "south"}}});
+    let bundles = [
+        bundle(base(), &[("n", right.clone()), ("s", policy)]),
+        bundle(base(), &[("n", right.clone()), ("s", directory.clone())]),
+        bundle(base(), &[("n", moved.clone()), ("s", directory)]),
+        bundle(base(), &[("n", moved.clone()), ("s", json!(7))]),
+    ];
+
+    for bundle in bundles {
+        for site in ["n", "s", "other"] {
+            assert!(super::render_if_all_right(&bundle, site).is_err(), "{site} of {bundle:?}");
+        }
+    }
+    let right = bundle(base(), &[("n", right), ("s", moved)]);
+    for site in ["n", "s", "other"] {
+        assert_eq!(super::render_if_all_right(&right, site), render(&right, site));
+    }
+}
+
+#[test]
+fn a_base_that_only_overlays_make_right_is_wrong() {
+    let mut broken = base();
+    broken["data_centres"].take();
+    let repaired = json!({"data_centres": {"a": {"region": "n"}, "b": {"region": "n"}}});
+
+    let bundle = bundle(broken, &[("n", repaired)]);
+
+    assert!(super::render_if_all_right(&bundle, "n").is_err());
+    assert!(super::render_if_all_right(&bundle, "other").is_err());
+}
+
+#[test]
+fn a_base_policy_that_only_overlays_make_right_is_wrong() {
+    let mut broken = base();
+    broken["routing"] = json!({"queue_max": 0});
+
+    let bundle = bundle(broken, &[("n", json!({"routing": {"queue_max": 9}}))]);
+
+    assert!(super::render_if_all_right(&bundle, "n").is_err());
+    assert!(super::render_if_all_right(&bundle, "other").is_err());
+}
