--- a/crates/papayastack/src/configuration/tests/fleet.rs
+++ b/crates/papayastack/src/configuration/tests/fleet.rs
@@ -40,6 +40,10 @@
         version
     }
 
+    fn is_stale(&self, vm: VmAddress) -> bool {
+        self.stale.contains_key(&vm)
+    }
+
     fn read(&self, vm: VmAddress, name: &ObjectName) -> Result<Object, PlatformError> {
         if self.down || self.unreachable.contains(&vm) {
             return Err(PlatformError::Unavailable);
@@ -204,7 +208,10 @@
                     return;
                 }
                 let answer = match self.platform.read(vm, &name) {
-                    Ok(object) if object.version > after => Ok(Some(object)),
+                    // An old replica answers with what it holds, also where that is too old.
+                    Ok(object) if object.version > after || self.platform.is_stale(vm) => {
+                        Ok(Some(object))
+                    }
                     Ok(_) if self.now < until => {
                         return self.push(5, Event::Answer { vm, life, name, after, until });
                     }
