Let one VM prune the ledger

Cause: nothing called the pruner, so ledger objects would have stayed for good.

Change: each VM spawns a pruner; only the first VM by rendezvous hashing over the live ones makes passes, with the settings in force. Two VMs that both think they have the duty do no harm. docs/SUBMISSIONS.md says what the platform must keep for the argument to hold.

--- a/crates/papayastack/src/vm/mod.rs
+++ b/crates/papayastack/src/vm/mod.rs
@@ -7,6 +7,7 @@
 mod links;
 mod metered_platform;
 mod pending;
+mod prune;
 mod query_run;
 mod service;
 mod shared;
--- a/crates/papayastack/src/vm/start.rs
+++ b/crates/papayastack/src/vm/start.rs
@@ -15,6 +15,7 @@
 use super::links::{spawn_configuration_sender, spawn_link_task};
 use super::metered_platform::MeteredPlatform;
 use super::pending::PendingQueries;
+use super::prune::spawn_pruner;
 use super::service::VmService;
 use super::shared::{Decisions, Shared, VmCounts, lock};
 use super::submit::Relays;
@@ -30,7 +31,7 @@
 use crate::platform::Platform;
 use crate::seal::Keyring;
 use crate::settings::{AddressSettings, LocalSettings, MembershipSettings, SubmissionSettings};
-use crate::submission::SubmissionDesk;
+use crate::submission::{LedgerPruner, SubmissionDesk};
 use crate::upstream::UpstreamClient;
 
 /// Idle connections that a VM keeps to one upstream.
@@ -73,6 +74,7 @@
     pub(crate) membership: Arc<Membership>,
     pub(crate) configuration: ConfigurationHandle,
     pub(crate) tasks: Vec<JoinHandle<()>>,
+    _pruner: LedgerPruner,
 }
 
 impl Vm {
@@ -122,7 +124,11 @@
         let lifetime = Duration::from_millis(AddressSettings::default().lifetime_ms);
         let shared = Arc::new(Shared {
             desk,
-            submissions: SubmissionDesk::spawn(platform, SubmissionSettings::default(), sender),
+            submissions: SubmissionDesk::spawn(
+                Arc::clone(&platform),
+                SubmissionSettings::default(),
+                sender,
+            ),
             decisions: Mutex::new(Decisions::new(identity.incarnation)),
             relays: Relays::default(),
             tracer,
@@ -149,7 +155,10 @@
             spawn_configuration_sender(hub, outbound_messages),
         ];
         let membership = Arc::new(membership);
-        Ok(Self { shared, callers, operators, membership, configuration, tasks }.following())
+        let pruner = spawn_pruner(platform, Arc::clone(&shared));
+        let vm =
+            Self { shared, callers, operators, membership, configuration, tasks, _pruner: pruner };
+        Ok(vm.following())
     }
 
     /// Returns the address for callers.
