Bound the wait for unrecorded outcomes; never let inputs hold up what is due

Cause: a VM that leaves while the store is down waited for ever for its outcomes to be recorded. And the driver preferred inputs to the clock, so an unbroken flow of inputs could hold up deadlines.

The driver takes a due tick before each input.

--- a/crates/papayastack/src/submission/driver.rs
+++ b/crates/papayastack/src/submission/driver.rs
@@ -127,14 +127,15 @@
         replied.await.ok()
     }
 
-    /// Waits until no request waits, nothing runs and every outcome is recorded, as a VM does
-    /// before it leaves.
-    pub async fn drained(&self) {
+    /// Waits up to `wait` until no request waits, nothing runs and every outcome is recorded, as
+    /// a VM does before it leaves; returns whether that came true.
+    pub async fn drained(&self, wait: Duration) -> bool {
         let (reply, replied) = oneshot::channel();
-        if self.shared.inputs.send(DriverInput::Drained(reply)).is_ok() {
-            // A driver that has stopped holds nothing.
-            let _ = replied.await;
+        if self.shared.inputs.send(DriverInput::Drained(reply)).is_err() {
+            return true;
         }
+        // A driver that has stopped holds nothing.
+        tokio::time::timeout(wait, replied).await.is_ok()
     }
 }
 
@@ -173,25 +174,36 @@
 
 impl Driver {
     async fn run(mut self, mut inputs: mpsc::UnboundedReceiver<DriverInput>) {
-        while !(self.closing && self.desk.is_idle()) {
+        loop {
+            // Inputs may never cease; what is due must not wait for them.
             let wake = self.desk.next_wake();
+            if wake.is_some_and(|wake| wake <= tokio::time::Instant::now().into_std()) {
+                self.handle(DeskInput::Tick);
+            }
+            if self.desk.is_idle() {
+                self.tell_drained();
+                if self.closing {
+                    return;
+                }
+            }
             tokio::select! {
                 biased;
                 input = inputs.recv() => match input {
                     Some(input) => self.receive(input),
                     None => return,
                 },
-                () = sleep_until(wake) => self.handle(DeskInput::Tick),
-            }
-            if self.desk.is_idle() {
-                for asker in self.drained.drain(..) {
-                    // The asker may have gone.
-                    let _ = asker.send(());
-                }
+                () = sleep_until(self.desk.next_wake()) => {}
             }
         }
     }
 
+    fn tell_drained(&mut self) {
+        for asker in self.drained.drain(..) {
+            // The asker may have gone.
+            let _ = asker.send(());
+        }
+    }
+
     fn receive(&mut self, input: DriverInput) {
         match input {
             DriverInput::Request(Request { ticket, submission, deadline, reply }) => {
--- a/crates/papayastack/src/submission/tests/driver.rs
+++ b/crates/papayastack/src/submission/tests/driver.rs
@@ -17,6 +17,7 @@
 use crate::upstream::SubmitRequest;
 
 const START_UNIX_MS: u64 = 1_700_000_000_000;
+const DRAIN_WAIT: Duration = Duration::from_secs(30);
 const KEY: &str = "1700000000000-a";
 
 /// An upstream that counts executions by key.
@@ -92,7 +93,7 @@
 
     let first = submit(&desk, KEY, "a").await.unwrap();
     let again = submit(&desk, KEY, "a").await.unwrap();
-    desk.drained().await;
+    assert!(desk.drained(DRAIN_WAIT).await);
     let elsewhere = submit(&fixture.desk(), KEY, "a").await.unwrap();
 
     let receipt = format!("receipt {KEY}");
@@ -134,7 +135,7 @@
     submit(&desk, KEY, "a").await.unwrap();
 
     let same_vm = submit(&desk, KEY, "b").await;
-    desk.drained().await;
+    assert!(desk.drained(DRAIN_WAIT).await);
     let other_vm = submit(&fixture.desk(), KEY, "b").await;
 
     assert_eq!(told(same_vm), (RefusalReason::Conflict, Certainty::NotRun));
@@ -186,7 +187,7 @@
     let desk = fixture.desk();
 
     let first = submit(&desk, KEY, "a").await;
-    desk.drained().await;
+    assert!(desk.drained(DRAIN_WAIT).await);
     let retry = submit(&fixture.desk(), KEY, "a").await;
 
     assert_eq!(told(first), (RefusalReason::UpstreamUnavailable, Certainty::OutcomeUnknown));
@@ -209,7 +210,7 @@
         let refused = submit(&desk, KEY, "a").await;
         let executions_before = fixture.upstream.executions_of(KEY);
         tokio::time::sleep(Duration::from_secs(1)).await;
-        desk.drained().await;
+        assert!(desk.drained(DRAIN_WAIT).await);
         let retry = submit(&fixture.desk(), KEY, "a").await;
 
         let not_run = (RefusalReason::StoreUnavailable, Certainty::NotRun);
@@ -238,6 +239,21 @@
     }
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_vm_does_not_wait_for_ever_for_a_store_that_is_down() {
+    let fixture = fixture();
+    let desk = fixture.desk();
+    submit(&desk, KEY, "a").await.unwrap();
+    fixture.platform.script(&vec![CallFault::Unavailable; 20]);
+
+    let in_time = desk.drained(Duration::from_secs(5)).await;
+    let later = desk.drained(Duration::from_secs(600)).await;
+    let elsewhere = submit(&fixture.desk(), KEY, "a").await.unwrap();
+
+    assert_eq!((in_time, later), (false, true));
+    assert!(elsewhere.repeated);
+}
+
 #[tokio::test(start_paused = true)]
 async fn an_owner_whose_recorded_intent_outlives_its_deadline_never_sends() {
     let fixture = fixture();
@@ -248,7 +264,7 @@
     let deadline = (tokio::time::Instant::now() + Duration::from_secs(1)).into_std();
 
     let refused = desk.submit(submission(Some(KEY), "a"), deadline).await;
-    desk.drained().await;
+    assert!(desk.drained(DRAIN_WAIT).await);
     let executions_before = fixture.upstream.executions_of(KEY);
     let retry = submit(&fixture.desk(), KEY, "a").await;
 
--- a/crates/papayastack/src/vm/leave.rs
+++ b/crates/papayastack/src/vm/leave.rs
@@ -8,6 +8,8 @@
 
 /// The pause between two looks at the work that is left.
 const PROGRESS_INTERVAL: Duration = Duration::from_millis(20);
+/// How long outcomes of submissions may take to be recorded while the store fails.
+const RECORD_WAIT: Duration = Duration::from_secs(30);
 
 impl Vm {
     /// Returns once an operator has asked this VM to leave.
@@ -36,7 +38,9 @@
     pub async fn shutdown(self) {
         self.membership.leave();
         self.callers.shutdown().await;
-        self.shared.submissions.drained().await;
+        if !self.shared.submissions.drained(RECORD_WAIT).await {
+            log::warn!(target: "papaya::vm", "vm: Some outcomes of submissions are not recorded.");
+        }
         while self.shared.counts().in_flight() > 0 {
             tokio::time::sleep(PROGRESS_INTERVAL).await;
         }
