--- /dev/null
+++ b/crates/papayastack-load/src/experiment/mod.rs
@@ -0,0 +1,240 @@
+//! The experiment file: its schema and its validation.
+
+mod validation;
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use papayastack::{QueryClass, RoutingPolicy, ServiceName, UpstreamId};
+use papayastack_macros::{closed_set, message};
+use papayastack_standin::Place;
+use serde_json::Value;
+
+const DEADLINE_DEFAULT_MS: u64 = 1_000;
+const HITS_LIMIT_DEFAULT: u32 = 100;
+const IN_FLIGHT_MAX_DEFAULT: usize = 10_000;
+
+/// A seeded experiment: cases that run one after the other, each under every policy.
+#[message]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Experiment {
+    /// Names the experiment in the report.
+    pub(crate) name: String,
+    /// The seed of indexes, arrivals, selections and chances.
+    #[serde(default)]
+    pub(crate) seed: u64,
+    /// The measured time of each run, in seconds.
+    pub(crate) duration_s: u64,
+    /// The time under load before the measurement, in seconds.
+    #[serde(default)]
+    pub(crate) warmup_s: u64,
+    /// The policies to compare.
+    #[serde(default = "all_policies")]
+    pub(crate) policies: Vec<RoutingPolicy>,
+    /// The share of answers that are compared with the naive search, in thousandths.
+    #[serde(default = "checked_permille_default")]
+    pub(crate) checked_permille: u32,
+    /// Requests that may be in flight at once; more are dropped and counted.
+    #[serde(default = "in_flight_max_default")]
+    pub(crate) in_flight_max: usize,
+    /// The cases.
+    pub(crate) cases: Vec<Case>,
+}
+
+/// One place under one load.
+#[message]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Case {
+    /// Names the case in the report.
+    pub(crate) name: String,
+    /// The place: `plazo_claro` or `armor`.
+    pub(crate) place: Place,
+    /// The services to start; all where empty.
+    #[serde(default)]
+    pub(crate) services: BTreeSet<ServiceName>,
+    /// The VMs that take the load.
+    #[serde(default)]
+    pub(crate) vms: Vms,
+    /// A merge patch on the settings of the place.
+    #[serde(default)]
+    pub(crate) settings: Value,
+    /// The load.
+    pub(crate) load: Vec<Load>,
+    /// The faults.
+    #[serde(default)]
+    pub(crate) faults: Vec<TimedFault>,
+}
+
+/// The VMs that take the load.
+#[message]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub(crate) enum Vms {
+    /// VMs started by this process, each on threads of its own.
+    InProcess {
+        /// How many.
+        count: usize,
+        /// Threads of each.
+        threads: usize,
+    },
+    /// VMs that run already, by their addresses for callers; their policy stays as it is.
+    Running {
+        /// The loopback addresses.
+        addresses: Vec<SocketAddr>,
+    },
+}
+
+impl Default for Vms {
+    fn default() -> Self {
+        Self::InProcess { count: 4, threads: 2 }
+    }
+}
+
+/// A stream of requests.
+#[message]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Load {
+    /// The service.
+    pub(crate) service: ServiceName,
+    /// The class.
+    pub(crate) class: LoadClass,
+    /// Requests per second on average; arrivals are random and do not wait for answers.
+    pub(crate) rate_per_s: u32,
+    /// The deadline in milliseconds.
+    #[serde(default = "deadline_default_ms")]
+    pub(crate) deadline_ms: u64,
+    /// What the queries look for.
+    #[serde(default)]
+    pub(crate) looks_for: LooksFor,
+    /// The most hits to return.
+    #[serde(default = "hits_limit_default")]
+    pub(crate) hits_limit: u32,
+}
+
+/// The class of a stream of requests.
+#[closed_set]
+pub(crate) enum LoadClass {
+    /// Queries of the class of the same name.
+    Sweep,
+    /// Queries of the class of the same name.
+    Lookup,
+    /// Queries of the class of the same name.
+    Archive,
+    /// Submissions, each with a key of its own.
+    Submission,
+}
+
+impl LoadClass {
+    /// Returns the class of the queries; `None` for submissions.
+    pub(crate) fn query_class(self) -> Option<QueryClass> {
+        match self {
+            Self::Sweep => Some(QueryClass::Sweep),
+            Self::Lookup => Some(QueryClass::Lookup),
+            Self::Archive => Some(QueryClass::Archive),
+            Self::Submission => None,
+        }
+    }
+
+    /// Returns the name in the report.
+    pub(crate) fn name(self) -> &'static str {
+        self.query_class().map_or("submission", QueryClass::name)
+    }
+}
+
+/// What a stream of queries looks for.
+#[closed_set]
+#[derive(Default)]
+pub(crate) enum LooksFor {
+    /// One or two terms of the service's vocabulary.
+    #[default]
+    Terms,
+    /// The key of one document.
+    Key,
+}
+
+/// A fault and its time.
+#[message]
+#[serde(deny_unknown_fields)]
+pub(crate) struct TimedFault {
+    /// The time after the start of the measurement, in seconds; negative times fall into the
+    /// warm-up.
+    pub(crate) at_s: i64,
+    /// The fault.
+    pub(crate) fault: Fault,
+}
+
+/// A fault, or its end.
+#[message]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub(crate) enum Fault {
+    /// Changes the behaviour of upstreams.
+    Upstreams {
+        /// The service.
+        service: ServiceName,
+        /// Only the upstreams of this replica, counted from 0.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        replica: Option<u32>,
+        /// Only these upstreams.
+        #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+        ids: BTreeSet<UpstreamId>,
+        /// A merge patch of the stand-in's behaviour.
+        behaviour: Value,
+    },
+    /// Changes the behaviour of the platform by a merge patch.
+    Platform(Value),
+    /// Ends a VM at once, with all its connections.
+    KillVm(usize),
+    /// Ends a VM gracefully.
+    StopVm(usize),
+    /// Publishes a new snapshot with another number of shards.
+    Repartition {
+        /// The service.
+        service: ServiceName,
+        /// The number of shards.
+        shards: u32,
+    },
+    /// Retires a snapshot at all upstreams.
+    Retire {
+        /// The service.
+        service: ServiceName,
+        /// The snapshot.
+        snapshot: u64,
+    },
+}
+
+impl Experiment {
+    /// Returns the time of each run, warm-up included.
+    pub(crate) fn run_time(&self) -> Duration {
+        Duration::from_secs(self.warmup_s + self.duration_s)
+    }
+}
+
+impl Vms {
+    /// Returns the number of VMs.
+    pub(crate) fn count(&self) -> usize {
+        match self {
+            Self::InProcess { count, .. } => *count,
+            Self::Running { addresses } => addresses.len(),
+        }
+    }
+}
+
+fn all_policies() -> Vec<RoutingPolicy> {
+    vec![RoutingPolicy::Owner, RoutingPolicy::Direct, RoutingPolicy::Naive]
+}
+
+fn checked_permille_default() -> u32 {
+    100
+}
+
+fn in_flight_max_default() -> usize {
+    IN_FLIGHT_MAX_DEFAULT
+}
+
+fn deadline_default_ms() -> u64 {
+    DEADLINE_DEFAULT_MS
+}
+
+fn hits_limit_default() -> u32 {
+    HITS_LIMIT_DEFAULT
+}
