Close an upstream that the platform or a peer says is leaving

Cause: only the upstream's own word stopped new work; the users count the platform's list and peers' word too. Ruled out: every VM reading the list, whose reads would grow with the fleet; telling all VMs in a large fleet, since only owners send queries to an upstream. Change: whoever reads of a leaving upstream closes its own gate and tells the VMs that send to it (all of them up to 64 members); submissions pass leaving upstreams over. Conclusion: the first of the three signals stops new work. In a fleet above 64 members, submissions from VMs that own nothing of the upstream learn of it only from the upstream itself.

--- a/crates/papayastack/src/link/message.rs
+++ b/crates/papayastack/src/link/message.rs
@@ -25,6 +25,8 @@
     Submit(SubmissionRelay),
     /// Tells the peer of configuration; it calls for no reply.
     Configuration(ConfigurationMessage),
+    /// Tells the peer that upstreams are leaving; it calls for no reply.
+    UpstreamsLeaving(Vec<UpstreamId>),
 }
 
 /// What the accepting VM sends back.
@@ -126,7 +128,7 @@
         match self {
             Self::Search(batch) => batch.items.len(),
             Self::Submit(_) => 1,
-            Self::Cancel { .. } | Self::Configuration(_) => 0,
+            Self::Cancel { .. } | Self::Configuration(_) | Self::UpstreamsLeaving(_) => 0,
         }
     }
 }
--- a/crates/papayastack/src/membership/driver.rs
+++ b/crates/papayastack/src/membership/driver.rs
@@ -14,7 +14,7 @@
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use crate::ids::{DataCentreName, RegionName, VmAddress};
-use crate::platform::Platform;
+use crate::platform::{ListedVm, Platform};
 use crate::seal::{DATAGRAM_MAX_BYTES, DatagramOpener, DatagramSealer, Keyring};
 use crate::settings::{DataCentreSettings, MembershipSettings, Settings};
 
@@ -75,6 +75,7 @@
     address: VmAddress,
     view: watch::Receiver<Arc<MemberView>>,
     commands: mpsc::UnboundedSender<Command>,
+    listed: watch::Receiver<Arc<Vec<ListedVm>>>,
     counts: Arc<Mutex<MembershipCounts>>,
     tasks: Vec<JoinHandle<()>>,
 }
@@ -118,6 +119,11 @@
         self.view.clone()
     }
 
+    /// Returns the platform's list as this VM last read it.
+    pub fn listed(&self) -> watch::Receiver<Arc<Vec<ListedVm>>> {
+        self.listed.clone()
+    }
+
     /// Takes the settings and the regions of a configuration that is in force.
     pub fn configure(&self, settings: &Settings) {
         let region = |(name, data_centre): (&DataCentreName, &DataCentreSettings)| {
@@ -181,8 +187,10 @@
             counts: Arc::clone(&counts),
         };
         let run = tokio::spawn(runner.run(command_receiver, seeds));
-        let list = tokio::spawn(read_list(platform, seed_sender, view.clone()));
-        Self { address: identity.address, view, commands, counts, tasks: vec![run, list] }
+        let (listed_sender, listed) = watch::channel(Arc::default());
+        let reading = read_list(platform, seed_sender, listed_sender, view.clone());
+        let list = tokio::spawn(reading);
+        Self { address: identity.address, view, commands, listed, counts, tasks: vec![run, list] }
     }
 
     fn command(&self, command: Command) {
@@ -350,6 +358,7 @@
 async fn read_list(
     platform: Arc<dyn Platform>,
     seeds: mpsc::Sender<Vec<VmAddress>>,
+    published: watch::Sender<Arc<Vec<ListedVm>>>,
     view: watch::Receiver<Arc<MemberView>>,
 ) {
     let mut failures = 0;
@@ -357,8 +366,9 @@
         match platform.vms().await {
             Ok(listed) => {
                 failures = 0;
-                let entry_vms = listed.into_iter().filter(|vm| vm.entry_vm);
+                let entry_vms = listed.iter().filter(|vm| vm.entry_vm);
                 let addresses = entry_vms.map(|vm| vm.address).collect();
+                published.send_replace(Arc::new(listed));
                 if seeds.send(addresses).await.is_err() {
                     return;
                 }
--- a/crates/papayastack/src/vm/desk.rs
+++ b/crates/papayastack/src/vm/desk.rs
@@ -50,6 +50,14 @@
     jobs: BTreeMap<Ticket, Job>,
 }
 
+impl State {
+    /// Returns the gate of an upstream, opening it with `limits` where there is none.
+    fn gate(&mut self, upstream: UpstreamIndex, limits: GateLimits) -> &mut UpstreamGate {
+        let open = || UpstreamGate { gate: Gate::new(limits), closed_until: None };
+        self.gates.entry(upstream).or_insert_with(open)
+    }
+}
+
 struct UpstreamGate {
     gate: Gate,
     closed_until: Option<Instant>,
@@ -58,6 +66,7 @@
 struct Job {
     upstream: UpstreamIndex,
     address: SocketAddr,
+    slots: u32,
     batch: Arc<OwnedBatch>,
     shard: ShardId,
     deadline: Instant,
@@ -156,12 +165,11 @@
     }
 
     /// Gives an upstream that is leaving no new work.
-    pub(crate) fn close_upstream(&self, upstream: UpstreamIndex) {
+    pub(crate) fn close_upstream(&self, upstream: UpstreamIndex, slots: u32) {
         let now = Instant::now();
         let mut state = lock(&self.inner.state);
-        let Some(entry) = state.gates.get_mut(&upstream) else {
-            return;
-        };
+        let limits = GateLimits { slots, queue_max: 0 };
+        let entry = state.gate(upstream, limits);
         entry.closed_until = Some(now + LEAVING_HOLD);
         let refused = entry.gate.close();
         for ticket in &refused {
@@ -173,6 +181,13 @@
         }
     }
 
+    /// Tells whether an upstream is known to be leaving.
+    pub(crate) fn is_leaving(&self, upstream: UpstreamIndex) -> bool {
+        let state = lock(&self.inner.state);
+        let closed_until = state.gates.get(&upstream).and_then(|entry| entry.closed_until);
+        closed_until.is_some_and(|until| until > Instant::now())
+    }
+
     /// Returns how much work the desk holds.
     pub(crate) fn counts(&self) -> DeskCounts {
         let state = lock(&self.inner.state);
@@ -207,10 +222,7 @@
         if state.jobs.contains_key(&ticket) {
             return;
         }
-        let entry = state
-            .gates
-            .entry(job.upstream)
-            .or_insert_with(|| UpstreamGate { gate: Gate::new(limits), closed_until: None });
+        let entry = state.gate(job.upstream, limits);
         entry.refresh(limits, now);
         let waiting = Waiting { ticket, class, deadline: job.deadline };
         let result = entry.gate.offer(waiting, now);
@@ -329,7 +341,7 @@
             self.refuse(old.source, old.query, old.attempt, reason, queue_len);
         }
         if outcome == AttemptOutcome::NotRun(NotRunReason::Draining) {
-            self.close_upstream(job.upstream);
+            self.close_upstream(job.upstream, job.slots);
         }
         self.report(ticket.source, ticket.query, ticket.attempt, outcome, queue_len);
     }
@@ -416,7 +428,14 @@
     item: &SearchItem,
     deadline: Instant,
 ) -> Job {
-    Job { upstream, address: place.address, batch: Arc::clone(batch), shard: item.shard, deadline }
+    Job {
+        upstream,
+        address: place.address,
+        slots: place.slots,
+        batch: Arc::clone(batch),
+        shard: item.shard,
+        deadline,
+    }
 }
 
 fn gate_limits(place: &UpstreamPlace, routing: &RoutingSettings, live_vms: usize) -> GateLimits {
--- /dev/null
+++ b/crates/papayastack/src/vm/leaving_upstreams.rs
@@ -0,0 +1,89 @@
+//! The word of the platform and of peers that upstreams are leaving.
+//!
+//! The whole fleet reads the platform's list about once a second. Whoever reads of a leaving
+//! upstream tells the VMs that send work to it.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Instant;
+
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+use super::shared::Shared;
+use crate::ids::{UpstreamId, VmAddress};
+use crate::link::LinkRequest;
+use crate::platform::{ListedState, ListedVm};
+use crate::routing::Directory;
+
+/// Members up to which all are told, owners or not; submissions may go out from any of them.
+const TELL_ALL_MAX: usize = 64;
+
+/// Spawns the task that follows the platform's list.
+pub(crate) fn spawn_leaving_task(
+    shared: Arc<Shared>,
+    mut listed: watch::Receiver<Arc<Vec<ListedVm>>>,
+) -> JoinHandle<()> {
+    tokio::spawn(async move {
+        while listed.changed().await.is_ok() {
+            let list = Arc::clone(&listed.borrow_and_update());
+            on_list(&shared, &list);
+        }
+    })
+}
+
+/// Gives upstreams that are leaving no new work from this VM.
+pub(crate) fn close_upstreams(shared: &Shared, upstreams: &[UpstreamId]) {
+    let directory = Arc::clone(&shared.directory.borrow());
+    for (upstream, place) in upstreams.iter().filter_map(|id| directory.named(id)) {
+        shared.decisions().observations.leaving(upstream, Instant::now());
+        shared.desk.close_upstream(upstream, place.slots);
+    }
+}
+
+fn on_list(shared: &Shared, listed: &[ListedVm]) {
+    let directory = Arc::clone(&shared.directory.borrow());
+    let leaving = leaving_upstreams(&directory, listed);
+    if leaving.is_empty() {
+        return;
+    }
+    close_upstreams(shared, &leaving);
+    for (peer, upstreams) in peers_to_tell(shared, &directory, &leaving) {
+        // Whoever reads the list next tells again.
+        let _ = shared.hub.send(peer, LinkRequest::UpstreamsLeaving(upstreams));
+    }
+}
+
+fn leaving_upstreams(directory: &Directory, listed: &[ListedVm]) -> Vec<UpstreamId> {
+    let leaving: BTreeSet<SocketAddr> = listed
+        .iter()
+        .filter(|vm| !vm.entry_vm && vm.state == ListedState::Leaving)
+        .map(|vm| vm.address)
+        .collect();
+    if leaving.is_empty() {
+        return Vec::new();
+    }
+    let places = directory.places.by_index.values();
+    places.filter(|place| leaving.contains(&place.address)).map(|it| it.id.to_string()).collect()
+}
+
+fn peers_to_tell(
+    shared: &Shared,
+    directory: &Directory,
+    leaving: &[UpstreamId],
+) -> BTreeMap<VmAddress, Vec<UpstreamId>> {
+    let view = Arc::clone(&shared.members.borrow());
+    let mut told: BTreeMap<VmAddress, Vec<UpstreamId>> = BTreeMap::new();
+    for (id, place) in leaving.iter().filter_map(|id| Some((id, directory.named(id)?.1))) {
+        let peers: Vec<VmAddress> = if view.members.len() <= TELL_ALL_MAX {
+            view.members.keys().copied().collect()
+        } else {
+            directory.owners_of(place).collect()
+        };
+        for peer in peers.into_iter().filter(|peer| *peer != shared.address) {
+            told.entry(peer).or_default().push(id.clone());
+        }
+    }
+    told
+}
--- a/crates/papayastack/src/vm/links.rs
+++ b/crates/papayastack/src/vm/links.rs
@@ -5,6 +5,7 @@
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 
+use super::leaving_upstreams::close_upstreams;
 use super::shared::Shared;
 use super::submit::run_relayed;
 use crate::configuration::ConfigurationMessage;
@@ -43,6 +44,7 @@
         }
         LinkRequest::Cancel { query, attempts } => shared.desk.cancel(source, query, &attempts),
         LinkRequest::Submit(relay) => run_relayed(shared, source, relay),
+        LinkRequest::UpstreamsLeaving(upstreams) => close_upstreams(shared, &upstreams),
         LinkRequest::Configuration(message) => {
             // A message that finds no room is made up for by the peer's next digest.
             let _ = shared.configuration_inbound.try_send((from, message));
--- a/crates/papayastack/src/vm/mod.rs
+++ b/crates/papayastack/src/vm/mod.rs
@@ -4,6 +4,7 @@
 mod directory_task;
 mod entry;
 mod leave;
+mod leaving_upstreams;
 mod links;
 mod metered_platform;
 mod pending;
--- a/crates/papayastack/src/vm/start.rs
+++ b/crates/papayastack/src/vm/start.rs
@@ -12,6 +12,7 @@
 
 use super::desk::UpstreamDesk;
 use super::directory_task::spawn_directory_task;
+use super::leaving_upstreams::spawn_leaving_task;
 use super::links::{spawn_configuration_sender, spawn_link_task};
 use super::metered_platform::MeteredPlatform;
 use super::pending::PendingQueries;
@@ -110,10 +111,9 @@
         let (directory, resolve) = spawn_directory_task(in_force.clone(), members.clone());
         let pending = Arc::new(PendingQueries::default());
         let client = UpstreamClient::open(IDLE_CONNECTIONS_MAX);
-        let sender = Arc::new(UpstreamSender::new(client.clone(), directory.clone()));
         let tracer = Arc::new(Tracer::open(IdSource::open(), 0));
         let desk = UpstreamDesk::open(
-            client,
+            client.clone(),
             hub.clone(),
             Arc::clone(&pending),
             directory.clone(),
@@ -121,6 +121,7 @@
             Arc::clone(&tracer),
             identity.address,
         );
+        let sender = Arc::new(UpstreamSender::new(client, desk.clone(), directory.clone()));
         let lifetime = Duration::from_millis(AddressSettings::default().lifetime_ms);
         let shared = Arc::new(Shared {
             desk,
@@ -152,6 +153,7 @@
         let tasks = vec![
             resolve,
             spawn_link_task(Arc::clone(&shared), events),
+            spawn_leaving_task(Arc::clone(&shared), membership.listed()),
             spawn_configuration_sender(hub, outbound_messages),
         ];
         let membership = Arc::new(membership);
