--- /dev/null
+++ b/crates/papayastack-standin/tests/leaving_upstream.rs
@@ -0,0 +1,109 @@
+//! An upstream that the platform lists as leaving gets no new work from any VM.
+
+use std::collections::BTreeSet;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use papayastack::{
+    CallContext, CallerClient, HttpPlatform, ListedState, ListedVm, LocalSettings, Platform,
+    QueryClass, QueryRequest, Selection, Vm,
+};
+use papayastack_standin::{Place, PlaceOptions, PlaceStandin, PlatformStandin, UpstreamStandin};
+
+const SERVICE: &str = "deadline-board";
+/// Sweeps without work for the upstream, after which it counts as left alone.
+const QUIET_SWEEPS: u32 = 30;
+/// Sweeps after which the test gives up.
+const SWEEPS_MAX: u32 = 3_000;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_upstream_listed_as_leaving_gets_no_new_work_from_any_vm() {
+    let platform = PlatformStandin::bind(any_port()).await.unwrap();
+    let place = open_place(&platform).await;
+    let vms = [open_vm("centro-a", &platform).await, open_vm("centro-b", &platform).await];
+    let callers = [caller_of(&vms[0]).await, caller_of(&vms[1]).await];
+    let upstream = &place.upstreams()["deadline-board-00"];
+    while upstream.counts().searches_received == 0 {
+        sweep(&callers).await;
+    }
+
+    platform.put_vm(ListedVm {
+        address: upstream.address(),
+        data_centre: "centro-a".to_owned(),
+        entry_vm: false,
+        state: ListedState::Leaving,
+    });
+
+    assert!(is_left_alone(upstream, &callers).await, "new work after {SWEEPS_MAX} sweeps");
+}
+
+/// Sweeps until the upstream got no work for [`QUIET_SWEEPS`] sweeps through each VM.
+async fn is_left_alone(upstream: &UpstreamStandin, callers: &[CallerClient]) -> bool {
+    let mut quiet = 0;
+    for _ in 0..SWEEPS_MAX {
+        let before = upstream.counts().searches_received;
+        sweep(callers).await;
+        quiet = if upstream.counts().searches_received == before { quiet + 1 } else { 0 };
+        if quiet == QUIET_SWEEPS {
+            return true;
+        }
+    }
+    false
+}
+
+/// Sweeps once through each VM; every answer must be complete.
+async fn sweep(callers: &[CallerClient]) {
+    for caller in callers {
+        let request = QueryRequest {
+            service: SERVICE.to_owned(),
+            class: QueryClass::Sweep,
+            selection: Selection::Terms(vec!["dgapa".to_owned()]),
+            deadline_ms: Some(10_000),
+            hits_limit: None,
+        };
+        let answer = caller.query(request, CallContext::default()).await.unwrap();
+        assert!(answer.answer.coverage().complete().is_some());
+    }
+}
+
+async fn open_place(platform: &PlatformStandin) -> PlaceStandin {
+    let options =
+        PlaceOptions { services: BTreeSet::from([SERVICE.to_owned()]), ..PlaceOptions::default() };
+    let place = PlaceStandin::bind(Place::PlazoClaro, options).await.unwrap();
+    let client: Arc<dyn Platform> = Arc::new(HttpPlatform::open(vec![platform.address()]));
+    place.publish(client.as_ref()).await.unwrap();
+    place
+}
+
+async fn open_vm(data_centre: &str, platform: &PlatformStandin) -> Vm {
+    let local = LocalSettings {
+        site: data_centre.to_owned(),
+        data_centre: data_centre.to_owned(),
+        link_address: any_port(),
+        caller_address: any_port(),
+        operator_address: any_port(),
+        platform_addresses: vec![platform.address()],
+        system_keys: vec!["the key of the test".to_owned()],
+    };
+    let client = Arc::new(HttpPlatform::open(vec![platform.address()]));
+    let vm = Vm::bind(local, client).await.unwrap();
+    platform.put_vm(ListedVm {
+        address: vm.link_address(),
+        data_centre: data_centre.to_owned(),
+        entry_vm: true,
+        state: ListedState::Live,
+    });
+    while !vm.in_force().borrow().as_ref().is_some_and(|current| !current.catalogues.is_empty()) {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    vm
+}
+
+async fn caller_of(vm: &Vm) -> CallerClient {
+    CallerClient::open(vec![vm.caller_address()], None).await
+}
+
+fn any_port() -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
+}
