--- a/crates/papayastack-standin/tests/leaving_upstream.rs
+++ b/crates/papayastack-standin/tests/leaving_upstream.rs
@@ -19,7 +19,8 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn an_upstream_listed_as_leaving_gets_no_new_work_from_any_vm() {
-    let platform = PlatformStandin::bind(any_port()).await.unwrap();
+    let platform =
+        PlatformStandin::bind(any_port()).await.expect("the stand-ins and VMs on loopback work");
     let place = open_place(&platform).await;
     let vms = [open_vm("centro-a", &platform).await, open_vm("centro-b", &platform).await];
     let callers = [caller_of(&vms[0]).await, caller_of(&vms[1]).await];
@@ -62,7 +63,10 @@
             deadline_ms: Some(10_000),
             hits_limit: None,
         };
-        let answer = caller.query(request, CallContext::default()).await.unwrap();
+        let answer = caller
+            .query(request, CallContext::default())
+            .await
+            .expect("the stand-ins and VMs on loopback work");
         assert!(answer.answer.coverage().complete().is_some());
     }
 }
@@ -70,9 +74,11 @@
 async fn open_place(platform: &PlatformStandin) -> PlaceStandin {
     let options =
         PlaceOptions { services: BTreeSet::from([SERVICE.to_owned()]), ..PlaceOptions::default() };
-    let place = PlaceStandin::bind(Place::PlazoClaro, options).await.unwrap();
+    let place = PlaceStandin::bind(Place::PlazoClaro, options)
+        .await
+        .expect("the stand-ins and VMs on loopback work");
     let client: Arc<dyn Platform> = Arc::new(HttpPlatform::open(vec![platform.address()]));
-    place.publish(client.as_ref()).await.unwrap();
+    place.publish(client.as_ref()).await.expect("the stand-ins and VMs on loopback work");
     place
 }
 
@@ -87,14 +93,14 @@
         system_keys: vec!["the key of the test".to_owned()],
     };
     let client = Arc::new(HttpPlatform::open(vec![platform.address()]));
-    let vm = Vm::bind(local, client).await.unwrap();
+    let vm = Vm::bind(local, client).await.expect("the stand-ins and VMs on loopback work");
     platform.put_vm(ListedVm {
         address: vm.link_address(),
         data_centre: data_centre.to_owned(),
         entry_vm: true,
         state: ListedState::Live,
     });
-    while !vm.in_force().borrow().as_ref().is_some_and(|current| !current.catalogues.is_empty()) {
+    while vm.in_force().borrow().as_ref().is_none_or(|current| current.catalogues.is_empty()) {
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
     vm
