Make the naive policy a pure baseline, keep keys out of debug output, tell refusals apart

Cause: the naive policy was still refused by admission and always took the first replica, so it was no baseline; LocalSettings showed the system's keys in debug output; papayaq gave one exit code to three refusals of a submission. Change: naive queries skip admission and take a random replica; debug output shows how many keys there are; exit codes 8 (in progress) and 9 (no longer known).

--- a/crates/papayastack-caller/src/exit.rs
+++ b/crates/papayastack-caller/src/exit.rs
@@ -25,6 +25,10 @@
     OutcomeUnknown = 6,
     /// The submission's key was used with another body.
     Conflict = 7,
+    /// Another request is running the submission.
+    InProgress = 8,
+    /// The submission's key is older than what is kept.
+    NoLongerKnown = 9,
 }
 
 impl Exit {
@@ -44,14 +48,18 @@
 
     /// Returns the exit of a call without an answer.
     pub(crate) fn of_error(error: &CallError) -> Self {
-        if let CallError::Refused(answer) = error
-            && answer.refusal.reason() == RefusalReason::Conflict
-        {
-            return Self::Conflict;
-        }
-        match error.certainty() {
-            Certainty::NotRun => Self::NotRun,
-            Certainty::OutcomeUnknown => Self::OutcomeUnknown,
+        let reason = match error {
+            CallError::Refused(answer) => Some(answer.refusal.reason()),
+            CallError::NotConnected { .. }
+            | CallError::NoAnswer { .. }
+            | CallError::Unexpected { .. } => None,
+        };
+        match (reason, error.certainty()) {
+            (Some(RefusalReason::Conflict), _) => Self::Conflict,
+            (Some(RefusalReason::InProgress), _) => Self::InProgress,
+            (Some(RefusalReason::NoLongerKnown), _) => Self::NoLongerKnown,
+            (_, Certainty::NotRun) => Self::NotRun,
+            (_, Certainty::OutcomeUnknown) => Self::OutcomeUnknown,
         }
     }
 }
--- a/crates/papayastack-caller/src/options.rs
+++ b/crates/papayastack-caller/src/options.rs
@@ -71,6 +71,8 @@
   5  not run: refused or out of reach, nothing ran
   6  outcome unknown: it may have run; send a submission again with the same key
   7  conflict: the key was used with another body
+  8  in progress: another request is running the submission; ask again with the same key
+  9  no longer known: the key is older than what is kept; ask the service itself
 ";
 
 /// What the command line asks for.
--- a/crates/papayastack-caller/src/tests.rs
+++ b/crates/papayastack-caller/src/tests.rs
@@ -4,7 +4,8 @@
 use std::ffi::OsString;
 
 use papayastack::{
-    Answer, Coverage, Hit, MissingReason, Partial, QueryAnswer, QueryClass, Selection,
+    Answer, CallError, Coverage, Custody, Hit, MissingReason, Partial, QueryAnswer, QueryClass,
+    RefusalAnswer, RefusalReason, Selection,
 };
 
 use crate::exit::Exit;
@@ -124,3 +125,21 @@
     assert_eq!(exit(1, 1), Exit::Partial);
     assert_eq!(exit(0, 1), Exit::Inconclusive);
 }
+
+#[test]
+fn refusals_of_a_submission_end_with_codes_of_their_own() {
+    let exits = [
+        (RefusalReason::Conflict, Exit::Conflict),
+        (RefusalReason::InProgress, Exit::InProgress),
+        (RefusalReason::NoLongerKnown, Exit::NoLongerKnown),
+        (RefusalReason::EarlierAttemptUnknown, Exit::OutcomeUnknown),
+    ];
+
+    for (reason, exit) in exits {
+        let mut custody = Custody::new();
+        custody.handed_to("an earlier request");
+        let refusal = custody.refuse(reason, "", None);
+        let error = CallError::Refused(RefusalAnswer { request_id: String::new(), refusal });
+        assert_eq!(Exit::of_error(&error), exit);
+    }
+}
--- a/crates/papayastack/src/query/fanout.rs
+++ b/crates/papayastack/src/query/fanout.rs
@@ -279,7 +279,8 @@
             return;
         }
         if self.spec.routing.policy == RoutingPolicy::Naive {
-            self.send(shard, 0, false, context, commands);
+            let position = context.random.random_range(0..self.spec.shards[shard].replicas.len());
+            self.send(shard, position, false, context, commands);
             return;
         }
         if !self.try_send(shard, false, context, commands) {
--- a/crates/papayastack/src/settings/local.rs
+++ b/crates/papayastack/src/settings/local.rs
@@ -2,12 +2,12 @@
 
 use std::net::SocketAddr;
 
-use papayastack_macros::message;
+use serde::{Deserialize, Serialize};
 
 use crate::ids::{DataCentreName, SiteName};
 
 /// What one VM is told when it starts: who it is and where the platform is.
-#[message]
+#[derive(Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct LocalSettings {
     /// The site whose overlay applies.
@@ -25,3 +25,19 @@
     /// The system's keys as text; the first one signs, all are accepted.
     pub system_keys: Vec<String>,
 }
+
+impl std::fmt::Debug for LocalSettings {
+    /// Leaves the keys out, so that they never reach a log.
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter
+            .debug_struct("LocalSettings")
+            .field("site", &self.site)
+            .field("data_centre", &self.data_centre)
+            .field("link_address", &self.link_address)
+            .field("caller_address", &self.caller_address)
+            .field("operator_address", &self.operator_address)
+            .field("platform_addresses", &self.platform_addresses)
+            .field("system_keys", &format_args!("{} keys", self.system_keys.len()))
+            .finish()
+    }
+}
--- a/crates/papayastack/src/settings/tests.rs
+++ b/crates/papayastack/src/settings/tests.rs
@@ -167,3 +167,16 @@
     assert!(super::render_if_all_right(&bundle, "n").is_err());
     assert!(super::render_if_all_right(&bundle, "other").is_err());
 }
+
+#[test]
+fn keys_never_appear_in_debug_output() {
+    let text = r#"{"site": "a", "data_centre": "a", "link_address": "127.0.0.1:1",
+        "caller_address": "127.0.0.1:2", "operator_address": "127.0.0.1:3",
+        "platform_addresses": [], "system_keys": ["a secret of the system"]}"#;
+    let local: LocalSettings = serde_json::from_str(text).unwrap();
+
+    let shown = format!("{local:?}");
+
+    assert!(!shown.contains("secret"), "{shown}");
+    assert!(shown.contains("1 keys"));
+}
--- a/crates/papayastack/src/vm/entry.rs
+++ b/crates/papayastack/src/vm/entry.rs
@@ -15,7 +15,7 @@
 use crate::outcome::{Answer, Coverage, Custody, MissingReason, Refusal, RefusalReason};
 use crate::query::{FanoutCounts, FanoutSpec};
 use crate::routing::Directory;
-use crate::settings::{ClassSettings, QueryClass};
+use crate::settings::{ClassSettings, QueryClass, RoutingPolicy};
 
 #[cfg(test)]
 mod tests;
@@ -106,11 +106,13 @@
     check_service(&in_force, &request.service)?;
     let class = class_settings(&in_force, request.class);
     let deadline = deadline_of(&request, &class, &in_force, context)?;
-    let admitted = Admitted::admit(shared, &request.service, request.class, &class)?;
+    let admitted = Admitted::admit(shared, &in_force, &request, &class)?;
     let query = Query { shared, in_force, request, class, deadline, context };
     let (answer, counts) = query.run().await?;
     shared.metrics.sub_requests(query.request.class, &counts);
-    admitted.end(&answer);
+    if let Some(admitted) = admitted {
+        admitted.end(&answer);
+    }
     refuse_if_nothing_ran(answer, &counts)
 }
 
@@ -187,19 +189,24 @@
 impl<'a> Admitted<'a> {
     fn admit(
         shared: &'a Shared,
-        service: &ServiceName,
-        class: QueryClass,
+        in_force: &InForce,
+        request: &QueryRequest,
         settings: &ClassSettings,
-    ) -> Result<Self, Refusal> {
+    ) -> Result<Option<Self>, Refusal> {
+        // The baseline of measurements sends whatever comes.
+        if in_force.settings.routing.policy == RoutingPolicy::Naive {
+            return Ok(None);
+        }
+        let (service, class) = (&request.service, request.class);
         let result = shared.decisions().admission.admit(service, class, settings.in_flight_max);
         match result {
-            AdmissionResult::Admitted => Ok(Self {
+            AdmissionResult::Admitted => Ok(Some(Self {
                 shared,
                 service: service.clone(),
                 class,
                 started: Instant::now(),
                 end: QueryEnd::Served,
-            }),
+            })),
             AdmissionResult::Refused { retry_after } => Err(Custody::new().refuse(
                 RefusalReason::Overloaded,
                 "the service has as many queries in flight as its upstreams can take",
