Test a submission whose bucket's owner is killed while it runs

Cause: that a submission runs at most once through the sudden end of its bucket's owner was tested inside one process only.

Ruled out: finding the owner by trial. The test's bundle has one bucket, so that the owner follows from the members and the rendezvous order.

Change: one submission is sent with one key to two processes that do not own the bucket; the owner is killed once an upstream has begun to run it; both processes are asked again. It ran once, and no answer claims that it did not run.

Conclusion: the ledger keeps the submission from running again, and no process claims more than it knows. Not tested: the key's answer after the owner's attempt has lapsed.

--- a/crates/papayastack-daemon/tests/processes/main.rs
+++ b/crates/papayastack-daemon/tests/processes/main.rs
@@ -2,9 +2,11 @@
 
 mod load;
 mod process;
+mod submission;
 mod system;
 
 use load::{Load, ask_at};
+use submission::{says_not_run, submission, submit_at};
 use system::{System, is_configured, wait_until};
 
 /// Callers that query side by side.
@@ -97,3 +99,30 @@
     load.progress().await;
     load.finish().await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_submission_runs_once_though_its_owner_is_killed_while_it_runs() {
+    let mut system = System::start().await;
+    system.slow_upstreams(SLOW_US);
+    let request = submission();
+    let key = request.key.clone().unwrap();
+    let owner = system.bucket_owner().await;
+    let owner = system.processes.remove(owner);
+    let first = system.processes[0].listening.caller_address;
+    let second = system.processes[1].listening.caller_address;
+
+    let both = async { tokio::join!(submit_at(first, &request), submit_at(second, &request)) };
+    let kill = async {
+        wait_until("the submission runs", async || system.executions(&key) > 0).await;
+        owner.signal("KILL");
+    };
+    let ((one, other), ()) = tokio::join!(both, kill);
+    let third = submit_at(first, &request).await;
+    let fourth = submit_at(second, &request).await;
+
+    assert_eq!(system.executions(&key), 1);
+    for result in [one, other, third, fourth] {
+        let result = result.expect("the processes that are left answer");
+        assert!(!says_not_run(&result), "it did run: {result:?}");
+    }
+}
--- a/crates/papayastack-daemon/tests/processes/system.rs
+++ b/crates/papayastack-daemon/tests/processes/system.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use papayastack::{HttpPlatform, ListedState, ListedVm};
+use papayastack::{HttpPlatform, ListedState, ListedVm, MemberView, VmStatus, owner_order};
 use papayastack_standin::{Place, PlaceOptions, PlaceStandin, PlatformStandin, publish_bundle};
 use serde_json::json;
 use tokio::sync::{Mutex, MutexGuard};
@@ -13,6 +13,8 @@
 
 /// The service that the tests query.
 pub(crate) const QUERY_SERVICE: &str = "deadline-board";
+/// The service that the tests submit to.
+pub(crate) const SUBMISSION_SERVICE: &str = "reminder-mailer";
 /// The seed of the stand-ins' indexes.
 pub(crate) const SEED: u64 = 2026;
 
@@ -42,7 +44,7 @@
         let platform = PlatformStandin::bind(any_port()).await.expect("a port is free");
         let options = PlaceOptions {
             seed: SEED,
-            services: BTreeSet::from([QUERY_SERVICE.to_owned()]),
+            services: BTreeSet::from([QUERY_SERVICE.to_owned(), SUBMISSION_SERVICE.to_owned()]),
             ..PlaceOptions::default()
         };
         let place = PlaceStandin::bind(Place::PlazoClaro, options).await.expect("ports are free");
@@ -51,6 +53,7 @@
         let mut bundle = place.bundle();
         bundle.change_id = "process-tests".to_owned();
         bundle.base["addresses"] = json!({ "lifetime_ms": ADDRESS_LIFETIME_MS });
+        bundle.base["submissions"] = json!({ "buckets": 1 });
         publish_bundle(client.as_ref(), &bundle).await.expect("the platform takes the change");
         let mut system = Self { processes: Vec::new(), platform, place, _turn: turn };
         for data_centre in DATA_CENTRES {
@@ -89,6 +92,22 @@
         }
     }
 
+    /// Returns how often a submission ran at the upstreams.
+    pub(crate) fn executions(&self, key: &str) -> u64 {
+        self.place.executions().get(key).copied().unwrap_or_default()
+    }
+
+    /// Returns the index of the process that owns the only bucket of submissions.
+    pub(crate) async fn bucket_owner(&self) -> usize {
+        let status = self.processes[0].status().await.expect("the process answers");
+        let status: VmStatus = serde_json::from_value(status).expect("the answer is a status");
+        let members = status.members.into_iter().map(|it| (it.identity.address, it)).collect();
+        let view = MemberView { members, unreachable_regions: BTreeSet::new() };
+        let owner = owner_order("ledger-bucket-0", "", &view)[0];
+        let is_owner = |process: &Process| process.listening.link_address == owner;
+        self.processes.iter().position(is_owner).expect("the owner is one of the processes")
+    }
+
     /// Starts a process at the link address of one that has ended.
     pub(crate) fn start_again(&mut self, ended: Process) {
         let link = ended.listening.link_address;
