Let a VM at a new address join while the platform is down

Ruled out: broadcasts, and a list kept on disk, which VMs do not have. Conclusion: one known peer is enough.

--- a/crates/papayastack-control/tests/apply.rs
+++ b/crates/papayastack-control/tests/apply.rs
@@ -28,6 +28,7 @@
         caller_address: any_port(),
         operator_address: any_port(),
         platform_addresses: vec![platform.address()],
+        peer_addresses: Vec::new(),
         system_keys: vec!["a key of at least thirty-two characters".to_owned()],
     };
     let client = Arc::new(HttpPlatform::open(vec![platform.address()]));
--- a/crates/papayastack-daemon/src/options.rs
+++ b/crates/papayastack-daemon/src/options.rs
@@ -20,6 +20,8 @@
   --site NAME             the site whose overlay applies
   --data-centre NAME      the data centre that the VM runs in
   --platform ADDRESS      an address of the platform; may be repeated
+  --peer ADDRESS          a link address of another VM; may be repeated; lets this VM join while the
+                          platform is down
   --key TEXT              a key of the system, the signing one first; may be repeated
   --link ADDRESS          the address for links and datagrams between VMs (default 127.0.0.1:0)
   --caller ADDRESS        the address for callers (default 127.0.0.1:0)
@@ -74,6 +76,8 @@
     replace(&mut local.operator_address, optional(arguments, "--operator")?);
     let platforms = arguments.values_from_str("--platform").map_err(|error| error.to_string())?;
     replace(&mut local.platform_addresses, Some(platforms).filter(|list| !list.is_empty()));
+    let peers = arguments.values_from_str("--peer").map_err(|error| error.to_string())?;
+    replace(&mut local.peer_addresses, Some(peers).filter(|list| !list.is_empty()));
     let keys = arguments.values_from_str("--key").map_err(|error| error.to_string())?;
     replace(&mut local.system_keys, Some(keys).filter(|list| !list.is_empty()));
     Ok(())
@@ -112,6 +116,7 @@
         caller_address: any_port,
         operator_address: any_port,
         platform_addresses: Vec::new(),
+        peer_addresses: Vec::new(),
         system_keys: Vec::new(),
     }
 }
--- a/crates/papayastack-daemon/tests/processes/main.rs
+++ b/crates/papayastack-daemon/tests/processes/main.rs
@@ -63,12 +63,14 @@
     ended.signal("KILL");
     system.see_each_other().await;
     system.start_again(ended);
+    system.start_new();
     system.see_each_other().await;
 
-    let again = &system.processes[3];
-    wait_until("the new process is configured", async || is_configured(again).await).await;
-    let address = again.listening.caller_address;
-    wait_until("the new process answers", async || ask_at(address).await.is_ok()).await;
+    for started in &system.processes[3..] {
+        wait_until("the process is configured", async || is_configured(started).await).await;
+        let address = started.listening.caller_address;
+        wait_until("the process answers", async || ask_at(address).await.is_ok()).await;
+    }
     load.progress().await;
     load.finish().await;
 }
--- a/crates/papayastack-daemon/tests/processes/process.rs
+++ b/crates/papayastack-daemon/tests/processes/process.rs
@@ -28,7 +28,12 @@
 
 impl Process {
     /// Starts a process; port 0 as the port of `link` takes a free one.
-    pub(crate) fn spawn(data_centre: &str, platform: SocketAddr, link: SocketAddr) -> Self {
+    pub(crate) fn spawn(
+        data_centre: &str,
+        platform: SocketAddr,
+        link: SocketAddr,
+        peers: Vec<VmAddress>,
+    ) -> Self {
         let mut child = Command::new(env!("CARGO_BIN_EXE_papayad"))
             .args(["--settings", "-"])
             .stdin(Stdio::piped())
@@ -36,8 +41,9 @@
             .stderr(Stdio::null())
             .spawn()
             .expect("papayad can be started");
-        let settings = serde_json::to_vec(&local_settings(data_centre, platform, link))
-            .expect("settings have string keys");
+        let mut settings = local_settings(data_centre, platform, link);
+        settings.peer_addresses = peers;
+        let settings = serde_json::to_vec(&settings).expect("settings have string keys");
         let mut input = child.stdin.take().expect("standard input is piped");
         input.write_all(&settings).expect("papayad reads its settings");
         drop(input);
@@ -118,6 +124,7 @@
         caller_address: any_port(),
         operator_address: any_port(),
         platform_addresses: vec![platform],
+        peer_addresses: Vec::new(),
         system_keys: vec!["the key of the process tests".to_owned()],
     }
 }
--- a/crates/papayastack-daemon/tests/processes/system.rs
+++ b/crates/papayastack-daemon/tests/processes/system.rs
@@ -57,7 +57,8 @@
         publish_bundle(client.as_ref(), &bundle).await.expect("the platform takes the change");
         let mut system = Self { processes: Vec::new(), platform, place, _turn: turn };
         for data_centre in DATA_CENTRES {
-            let process = Process::spawn(data_centre, system.platform.address(), any_port());
+            let platform = system.platform.address();
+            let process = Process::spawn(data_centre, platform, any_port(), Vec::new());
             system.platform.put_vm(ListedVm {
                 address: process.listening.link_address,
                 data_centre: data_centre.to_owned(),
@@ -112,8 +113,15 @@
     pub(crate) fn start_again(&mut self, ended: Process) {
         let link = ended.listening.link_address;
         drop(ended);
-        let process = Process::spawn(DATA_CENTRES[0], self.platform.address(), link);
-        self.processes.push(process);
+        let platform = self.platform.address();
+        self.processes.push(Process::spawn(DATA_CENTRES[0], platform, link, Vec::new()));
+    }
+
+    /// Starts a process at an address that nobody knows, with one peer in its own settings.
+    pub(crate) fn start_new(&mut self) {
+        let peers = vec![self.processes[0].listening.link_address];
+        let platform = self.platform.address();
+        self.processes.push(Process::spawn(DATA_CENTRES[0], platform, any_port(), peers));
     }
 }
 
--- a/crates/papayastack-load/src/vm_host.rs
+++ b/crates/papayastack-load/src/vm_host.rs
@@ -115,6 +115,7 @@
         caller_address: any_port,
         operator_address: any_port,
         platform_addresses: vec![platform],
+        peer_addresses: Vec::new(),
         system_keys: vec![SYSTEM_KEY.to_owned()],
     }
 }
--- a/crates/papayastack-quickstart/src/system.rs
+++ b/crates/papayastack-quickstart/src/system.rs
@@ -128,6 +128,7 @@
         caller_address: any_port,
         operator_address: any_port,
         platform_addresses: vec![platform],
+        peer_addresses: Vec::new(),
         system_keys: vec!["the key of the quickstart".to_owned()],
     }
 }
--- a/crates/papayastack-standin/examples/configuration_rollout.rs
+++ b/crates/papayastack-standin/examples/configuration_rollout.rs
@@ -80,6 +80,7 @@
         caller_address: any_port(),
         operator_address: any_port(),
         platform_addresses: vec![platform.address()],
+        peer_addresses: Vec::new(),
         system_keys: vec!["a key for measurements of this machine alone".to_owned()],
     };
     let client = Arc::new(HttpPlatform::open(vec![platform.address()]));
--- a/crates/papayastack-standin/tests/leaving_upstream.rs
+++ b/crates/papayastack-standin/tests/leaving_upstream.rs
@@ -90,6 +90,7 @@
         caller_address: any_port(),
         operator_address: any_port(),
         platform_addresses: vec![platform.address()],
+        peer_addresses: Vec::new(),
         system_keys: vec!["the key of the test".to_owned()],
     };
     let client = Arc::new(HttpPlatform::open(vec![platform.address()]));
--- a/crates/papayastack/src/membership/driver.rs
+++ b/crates/papayastack/src/membership/driver.rs
@@ -138,6 +138,11 @@
         self.command(Command::SetConfigurationVersion(version));
     }
 
+    /// Takes addresses that are asked beside those of the platform's list.
+    pub fn set_peers(&self, peers: Vec<VmAddress>) {
+        self.command(Command::SetPeers(peers));
+    }
+
     /// Tells the others where callers reach this VM.
     pub fn set_caller_address(&self, caller_address: SocketAddr) {
         self.command(Command::SetCallerAddress(caller_address));
@@ -183,6 +188,7 @@
             view: view_sender,
             published_at: now,
             pending_change: ViewChange::None,
+            peers: Vec::new(),
             traffic: MembershipCounts::default(),
             counts: Arc::clone(&counts),
         };
@@ -213,6 +219,7 @@
     Configure(MembershipSettings, BTreeMap<DataCentreName, RegionName>),
     SetConfigurationVersion(u64),
     SetCallerAddress(SocketAddr),
+    SetPeers(Vec<VmAddress>),
     Leave,
     End(oneshot::Sender<()>),
 }
@@ -226,6 +233,7 @@
     view: watch::Sender<Arc<MemberView>>,
     published_at: Instant,
     pending_change: ViewChange,
+    peers: Vec<VmAddress>,
     traffic: MembershipCounts,
     counts: Arc<Mutex<MembershipCounts>>,
 }
@@ -249,7 +257,10 @@
                     self.protocol.on_tick(Instant::now());
                     self.export_counts();
                 }
-                Some(listed) = seeds.recv() => self.protocol.on_seeds(listed, Instant::now()),
+                Some(listed) = seeds.recv() => {
+                    let seeds = self.peers.iter().copied().chain(listed);
+                    self.protocol.on_seeds(seeds, Instant::now());
+                }
                 command = commands.recv() => {
                     let Some(command) = command else { return };
                     if let Some(done) = self.on_command(command) {
@@ -298,6 +309,10 @@
                 self.protocol.set_configuration_version(version);
             }
             Command::SetCallerAddress(address) => self.protocol.set_caller_address(address),
+            Command::SetPeers(peers) => {
+                self.peers = peers;
+                self.protocol.on_seeds(self.peers.iter().copied(), Instant::now());
+            }
             Command::Leave => self.protocol.leave(),
             Command::End(done) => {
                 self.protocol.end(Instant::now());
--- a/crates/papayastack/src/membership/tests/driver.rs
+++ b/crates/papayastack/src/membership/tests/driver.rs
@@ -164,3 +164,16 @@
 
     assert!(refused.unwrap_err().to_string().contains("data_centre"));
 }
+
+#[tokio::test]
+async fn a_vm_that_no_list_names_joins_by_the_peers_in_its_settings() {
+    let (_listing, listed) = watch::channel(Vec::new());
+    let platform: Arc<dyn Platform> = Arc::new(Listing(listed));
+    let known = bind(&platform, "k").await;
+    let new = bind(&platform, "k").await;
+
+    new.set_peers(vec![known.address()]);
+
+    let mut view = known.view();
+    view.wait_for(|view| view.members.contains_key(&new.address())).await.unwrap();
+}
--- a/crates/papayastack/src/settings/local.rs
+++ b/crates/papayastack/src/settings/local.rs
@@ -22,6 +22,10 @@
     pub operator_address: SocketAddr,
     /// The platform's addresses.
     pub platform_addresses: Vec<SocketAddr>,
+    /// Link addresses of other VMs, asked beside the platform's list; they let a VM at a new address
+    /// join while the platform is down.
+    #[serde(default)]
+    pub peer_addresses: Vec<SocketAddr>,
     /// The system's keys as text; the first one signs, all are accepted.
     pub system_keys: Vec<String>,
 }
@@ -37,6 +41,7 @@
             .field("caller_address", &self.caller_address)
             .field("operator_address", &self.operator_address)
             .field("platform_addresses", &self.platform_addresses)
+            .field("peer_addresses", &self.peer_addresses)
             .field("system_keys", &format_args!("{} keys", self.system_keys.len()))
             .finish()
     }
