--- a/crates/papayastack/src/lib.rs
+++ b/crates/papayastack/src/lib.rs
@@ -48,24 +48,80 @@
 mod upstream;
 mod vm;
 
-pub use addresses::*;
-pub use admission::*;
-pub use caller::*;
-pub use catalogue::*;
-pub use configuration::*;
-pub use dispatch::*;
-pub use ids::*;
-pub use link::*;
-pub use listen::*;
-pub use membership::*;
-pub use observe::*;
-pub use operator::*;
-pub use outcome::*;
-pub use platform::*;
-pub use query::*;
-pub use routing::*;
-pub use seal::*;
-pub use settings::*;
-pub use submission::*;
-pub use upstream::*;
-pub use vm::*;
+pub use addresses::{
+    ADDRESSES_MAX, AddressQuery, Leaving, LeavingPhase, LoadPermille, choose_addresses,
+};
+pub use admission::{Admission, AdmissionResult, QueryEnd};
+pub use caller::{
+    ADDRESSES_PATH, AddressesAnswer, CallContext, CallError, CallerClient, CallerServer,
+    CallerService, QUERY_PATH, QueryAnswer, QueryRequest, REQUEST_ID_HEADER, RefusalAnswer,
+    RequestContext, SUBMISSIONS_PATH, SubmissionAnswer, SubmissionRequest, new_submission_key,
+};
+pub use catalogue::{CATALOGUE_KIND, Catalogue, ShardMap};
+pub use configuration::{
+    ApplyInput, ApplyMachine, ApplyOutcome, ApplyOutput, ApplyRequest, Bundle, CONFIGURATION_KIND,
+    CONFIGURATION_NAME, ConfigurationCounters, ConfigurationDriver, ConfigurationHandle,
+    ConfigurationMachine, ConfigurationMessage, ConfigurationOutput, ConfigurationStatus,
+    DocumentContent, DocumentUpdate, EARLIER_CHANGES_MAX, HeldDocument, InForce, LagReason,
+    LaggingVm, RaceReport, RefusedDocument, Rollout, VmStatus, apply, catalogue_object,
+    configuration_object,
+};
+pub use dispatch::{CancelResult, Gate, GateLimits, OfferResult, Ticket, Waiting};
+pub use ids::{
+    AttemptId, DataCentreName, Incarnation, QueryId, RegionName, ServiceName, ShardId, SiteName,
+    SnapshotVersion, UpstreamId, VmAddress,
+};
+pub use link::{
+    FRAME_MAX_BYTES, FrameError, LinkEvent, LinkHub, LinkReply, LinkRequest, RelayId, RelayResult,
+    SearchBatch, SearchItem, SearchResult, SourceId, SubmissionRelay, decode_frame, encode_frame,
+};
+pub use listen::BindError;
+pub use membership::{
+    MEMBERSHIP_TICK, Member, MemberState, MemberView, Membership, MembershipCounts,
+    MembershipDatagram, MembershipError, MembershipProtocol, ViewChange, VmIdentity,
+};
+pub use observe::{
+    ActiveSpan, DispatchLevels, Hop, IdSource, LogError, LogFormat, LogSettings, Metrics,
+    PlatformCall, QueryOutcome, RequestGuard, SPAN_TARGET, SpanId, SpanIds, SpanRecord,
+    SubmissionOutcome, TraceContext, TraceId, Tracer, open_logs,
+};
+pub use operator::{
+    DRAIN_PATH, HEALTH_PATH, METRICS_PATH, OperatorServer, OperatorService, READY_PATH, Readiness,
+    STATUS_PATH,
+};
+pub use outcome::{
+    Answer, Certainty, CompleteCoverage, Coverage, CoverageError, Custody, Hit, MergeError,
+    MissingReason, Partial, Refusal, RefusalReason, Verdict,
+};
+pub use platform::{
+    HttpPlatform, ListedState, ListedVm, Object, ObjectName, ObjectVersion, Platform,
+    PlatformError, Precondition, RETRY_AFTER_MS_HEADER,
+};
+pub use query::{
+    AttemptOutcome, Budgets, Command, FailureReason, Fanout, FanoutContext, FanoutCounts,
+    FanoutSpec, NotRunReason, Observations, QuantileTracker,
+};
+pub use routing::{
+    Directory, DirectorySource, GroupNumber, OWNERS_KEPT, OwnerPlace, OwnerTable, Owners,
+    ShardReplicas, UpstreamIndex, UpstreamPlace, UpstreamPlaces, direct_share, owner_order,
+};
+pub use seal::{
+    ClientHandshake, DATAGRAM_MAX_BYTES, DatagramOpener, DatagramSealer, FRAME_TAG_BYTES,
+    FrameOpener, FrameSealer, HANDSHAKE_MAX_BYTES, Keyring, KeyringError, LinkSession, Nonce,
+    OpenedDatagram, SealCounts, SealError, ServerHandshake, new_nonce,
+};
+pub use settings::{
+    AddressSettings, ClassSettings, DataCentreSettings, Fault, LimitSettings, LocalSettings,
+    MembershipSettings, PlatformSettings, QueryClass, RoutingPolicy, RoutingSettings,
+    ServiceSettings, Settings, SettingsFile, SubmissionSettings, UpstreamSettings, check,
+    nearest_name, render, settings_reference,
+};
+pub use submission::{
+    LedgerPruner, RECEIPT_MAX_BYTES, SUBMISSION_KEY_MAX_BYTES, SendOutcome, Submission,
+    SubmissionDesk, SubmissionDone, SubmissionKey, SubmissionKeyError, SubmissionSender, WallClock,
+};
+pub use upstream::{
+    CancelRequest, SearchReply, SearchRequest, Selection, SubmitReply, SubmitRequest,
+    UpstreamClient, UpstreamError,
+};
+pub use vm::{Vm, VmCounts, VmError};
--- a/crates/papayastack/src/query/tests.rs
+++ b/crates/papayastack/src/query/tests.rs
@@ -241,6 +241,17 @@
     assert!(sent - needed <= needed / 20, "{sent} sent, {needed} needed");
 }
 
+#[test]
+fn a_narrow_distribution_is_not_hedged() {
+    let mut rig = Rig::new(13, Faults::default());
+    run_many(&mut rig, 50, 20, 3, 1000);
+
+    // All latencies lie within twice their mean.
+    let hedges: u64 = (0..100).map(|_| sweep(&mut rig, 20, 3).1.hedges).sum();
+
+    assert_eq!(hedges, 0);
+}
+
 #[test]
 fn stragglers_are_hedged_within_the_budget() {
     let mut rig = Rig::new(2, Faults { slow_permille: 10, ..Faults::default() });
