Split the fan-out and the desk by duty; build loopback settings in one place

Ruled out: a macro or a shared test crate; a constructor of the settings serves product, tools and tests. Change: spec.rs and progress.rs beside fanout.rs, replies.rs beside desk.rs, LocalSettings::on_loopback. Conclusion: behaviour is the same.

--- a/crates/papayastack-control/tests/apply.rs
+++ b/crates/papayastack-control/tests/apply.rs
@@ -21,16 +21,11 @@
 }
 
 async fn start_vm(platform: &PlatformStandin, data_centre: &str) -> Vm {
-    let local = LocalSettings {
-        site: data_centre.to_owned(),
-        data_centre: data_centre.to_owned(),
-        link_address: any_port(),
-        caller_address: any_port(),
-        operator_address: any_port(),
-        platform_addresses: vec![platform.address()],
-        peer_addresses: Vec::new(),
-        system_keys: vec!["a key of at least thirty-two characters".to_owned()],
-    };
+    let local = LocalSettings::on_loopback(
+        data_centre,
+        platform.address(),
+        "a key of at least thirty-two characters",
+    );
     let client = Arc::new(HttpPlatform::open(vec![platform.address()]));
     let vm = Vm::bind(local, client).await.expect("a free port can be bound");
     platform.put_vm(ListedVm {
--- a/crates/papayastack-daemon/tests/processes/process.rs
+++ b/crates/papayastack-daemon/tests/processes/process.rs
@@ -12,6 +12,9 @@
 use papayastack::{LocalSettings, MemberState, STATUS_PATH, VmAddress, VmStatus};
 use serde::Deserialize;
 
+/// The key of the processes.
+const SYSTEM_KEY: &str = "the key of the process tests";
+
 /// What `papayad` prints once it listens.
 #[derive(Debug, Deserialize)]
 pub(crate) struct Listening {
@@ -41,7 +44,8 @@
             .stderr(Stdio::null())
             .spawn()
             .expect("papayad can be started");
-        let mut settings = local_settings(data_centre, platform, link);
+        let mut settings = LocalSettings::on_loopback(data_centre, platform, SYSTEM_KEY);
+        settings.link_address = link;
         settings.peer_addresses = peers;
         let settings = serde_json::to_vec(&settings).expect("settings have string keys");
         let mut input = child.stdin.take().expect("standard input is piped");
@@ -116,19 +120,6 @@
     Ok((status, body.to_bytes()))
 }
 
-fn local_settings(data_centre: &str, platform: SocketAddr, link: SocketAddr) -> LocalSettings {
-    LocalSettings {
-        site: data_centre.to_owned(),
-        data_centre: data_centre.to_owned(),
-        link_address: link,
-        caller_address: any_port(),
-        operator_address: any_port(),
-        platform_addresses: vec![platform],
-        peer_addresses: Vec::new(),
-        system_keys: vec!["the key of the process tests".to_owned()],
-    }
-}
-
 /// Returns the loopback address whose port the operating system chooses.
 pub(crate) fn any_port() -> SocketAddr {
     SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
--- a/crates/papayastack-load/src/vm_host.rs
+++ b/crates/papayastack-load/src/vm_host.rs
@@ -1,10 +1,10 @@
 //! One VM on a runtime of its own, so that it can be killed and its processor time told.
 
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use papayastack::{DataCentreName, HttpPlatform, ListedState, ListedVm, LocalSettings, Vm};
+use papayastack::{HttpPlatform, ListedState, ListedVm, LocalSettings, Vm};
 use tokio::runtime::{Builder, Runtime};
 
 use crate::resources::ThreadGroup;
@@ -40,7 +40,7 @@
             .build()
             .map_err(|error| format!("cannot start a runtime: {error}"))?;
         let client = Arc::new(HttpPlatform::open(vec![platform]));
-        let local = local_settings(data_centre.to_owned(), platform);
+        let local = LocalSettings::on_loopback(data_centre, platform, SYSTEM_KEY);
         let vm = runtime
             .spawn(Vm::bind(local, client))
             .await
@@ -105,17 +105,3 @@
         self.kill();
     }
 }
-
-fn local_settings(data_centre: DataCentreName, platform: SocketAddr) -> LocalSettings {
-    let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-    LocalSettings {
-        site: data_centre.clone(),
-        data_centre,
-        link_address: any_port,
-        caller_address: any_port,
-        operator_address: any_port,
-        platform_addresses: vec![platform],
-        peer_addresses: Vec::new(),
-        system_keys: vec![SYSTEM_KEY.to_owned()],
-    }
-}
--- a/crates/papayastack-quickstart/src/system.rs
+++ b/crates/papayastack-quickstart/src/system.rs
@@ -19,6 +19,8 @@
 const ADDRESS_LIFETIME_MS: u64 = 1_000;
 /// The data centre of each VM.
 const DATA_CENTRES: [&str; 4] = ["centro-a", "centro-a", "centro-b", "centro-c"];
+/// The key of the VMs.
+const SYSTEM_KEY: &str = "the key of the quickstart";
 /// The longest wait for the VMs to find each other and the configuration.
 const READY_TIMEOUT: Duration = Duration::from_secs(10);
 /// The pause between two looks at a condition.
@@ -51,7 +53,8 @@
         publish(&place, platform.as_ref()).await?;
         let mut vms = Vec::new();
         for data_centre in DATA_CENTRES {
-            let local = local_settings(data_centre, platform_standin.address());
+            let local =
+                LocalSettings::on_loopback(data_centre, platform_standin.address(), SYSTEM_KEY);
             let vm = Vm::bind(local, Arc::clone(&platform) as _)
                 .await
                 .map_err(|report| report.to_string())?;
@@ -118,17 +121,3 @@
         state: ListedState::Live,
     }
 }
-
-fn local_settings(data_centre: &str, platform: SocketAddr) -> LocalSettings {
-    let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-    LocalSettings {
-        site: data_centre.to_owned(),
-        data_centre: data_centre.to_owned(),
-        link_address: any_port,
-        caller_address: any_port,
-        operator_address: any_port,
-        platform_addresses: vec![platform],
-        peer_addresses: Vec::new(),
-        system_keys: vec!["the key of the quickstart".to_owned()],
-    }
-}
--- a/crates/papayastack-standin/examples/configuration_rollout.rs
+++ b/crates/papayastack-standin/examples/configuration_rollout.rs
@@ -73,16 +73,11 @@
 }
 
 async fn start_vm(platform: &PlatformStandin, data_centre: &str) -> Vm {
-    let local = LocalSettings {
-        site: data_centre.to_owned(),
-        data_centre: data_centre.to_owned(),
-        link_address: any_port(),
-        caller_address: any_port(),
-        operator_address: any_port(),
-        platform_addresses: vec![platform.address()],
-        peer_addresses: Vec::new(),
-        system_keys: vec!["a key for measurements of this machine alone".to_owned()],
-    };
+    let local = LocalSettings::on_loopback(
+        data_centre,
+        platform.address(),
+        "a key for measurements of this machine alone",
+    );
     let client = Arc::new(HttpPlatform::open(vec![platform.address()]));
     let vm = Vm::bind(local, client).await.expect("free ports can be bound");
     platform.put_vm(ListedVm {
--- a/crates/papayastack-standin/tests/leaving_upstream.rs
+++ b/crates/papayastack-standin/tests/leaving_upstream.rs
@@ -83,16 +83,7 @@
 }
 
 async fn open_vm(data_centre: &str, platform: &PlatformStandin) -> Vm {
-    let local = LocalSettings {
-        site: data_centre.to_owned(),
-        data_centre: data_centre.to_owned(),
-        link_address: any_port(),
-        caller_address: any_port(),
-        operator_address: any_port(),
-        platform_addresses: vec![platform.address()],
-        peer_addresses: Vec::new(),
-        system_keys: vec!["the key of the test".to_owned()],
-    };
+    let local = LocalSettings::on_loopback(data_centre, platform.address(), "the key of the test");
     let client = Arc::new(HttpPlatform::open(vec![platform.address()]));
     let vm = Vm::bind(local, client).await.expect("the stand-ins and VMs on loopback work");
     platform.put_vm(ListedVm {
--- a/crates/papayastack/src/query/fanout.rs
+++ b/crates/papayastack/src/query/fanout.rs
@@ -1,20 +1,18 @@
 //! The machine of one query: attempts per shard, hedges, retries, coverage.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use papayastack_macros::value;
 use rand::Rng;
 
 use super::attempt::{AttemptOutcome, FailureReason, NotRunReason};
-use super::budget::Budgets;
-use super::health::Observations;
+use super::progress::{Attempt, Progress, ShardState};
 use super::quantile::QuantileTracker;
-use crate::ids::{AttemptId, ServiceName, ShardId, SnapshotVersion};
+use super::spec::{Command, FanoutContext, FanoutCounts, FanoutSpec};
+use crate::ids::AttemptId;
 use crate::outcome::{Answer, Coverage, MissingReason, Partial};
-use crate::routing::{ShardReplicas, UpstreamIndex};
-use crate::settings::{ClassSettings, RoutingPolicy, RoutingSettings};
+use crate::routing::UpstreamIndex;
+use crate::settings::RoutingPolicy;
 
 /// The first pause before a shard whose replicas all failed is tried again.
 const RETRY_PAUSE_INITIAL: Duration = Duration::from_millis(4);
@@ -27,82 +25,6 @@
 /// The shortest hedge delay.
 const HEDGE_DELAY_MIN: Duration = Duration::from_millis(1);
 
-/// What one query asks of the fan-out.
-#[value]
-pub struct FanoutSpec {
-    /// The service.
-    pub service: ServiceName,
-    /// The pinned snapshot.
-    pub snapshot: SnapshotVersion,
-    /// The pinned shard map.
-    pub shards: Arc<Vec<ShardReplicas>>,
-    /// The most hits in the answer.
-    pub hits_limit: usize,
-    /// When the answer must be made.
-    pub deadline: Instant,
-    /// The treatment of the query's class.
-    pub class: ClassSettings,
-    /// The routing settings that the query began with.
-    pub routing: RoutingSettings,
-}
-
-/// What all queries of a VM share, lent to one decision.
-pub struct FanoutContext<'a, R: Rng> {
-    /// The observations of upstreams.
-    pub observations: &'a mut Observations,
-    /// The budgets of hedges and retries.
-    pub budgets: &'a mut Budgets,
-    /// The latency of each shard of the service, one tracker per position in the shard map.
-    pub latencies: &'a mut Vec<QuantileTracker>,
-    /// The source of randomness.
-    pub random: &'a mut R,
-    /// The time of the decision.
-    pub now: Instant,
-}
-
-/// What the fan-out wants done.
-#[value]
-pub enum Command {
-    /// Send an attempt.
-    Send {
-        /// The attempt.
-        attempt: AttemptId,
-        /// The shard to search.
-        shard: ShardId,
-        /// The upstream to ask.
-        upstream: UpstreamIndex,
-    },
-    /// Cancel an attempt that is no longer needed.
-    Cancel {
-        /// The attempt.
-        attempt: AttemptId,
-        /// The upstream that was asked.
-        upstream: UpstreamIndex,
-    },
-    /// The pinned snapshot is gone from every replica of a shard.
-    SnapshotGone,
-    /// Every shard has answered or is given up.
-    Finished,
-}
-
-/// Counts of one query, for extra load and for dropped replies.
-#[value]
-#[derive(Default)]
-pub struct FanoutCounts {
-    /// Sub-requests that the query needed, one for each shard.
-    pub needed: u64,
-    /// Sub-requests that were handed on, without those that provably reached no upstream.
-    pub sent: u64,
-    /// Hedges among those sent.
-    pub hedges: u64,
-    /// Retries among those sent.
-    pub retries: u64,
-    /// Attempts that may have run without giving an answer.
-    pub unresolved: u64,
-    /// Replies dropped because they were late, duplicated, crossed or malformed.
-    pub dropped: u64,
-}
-
 /// The state of one query.
 #[derive(Debug)]
 pub struct Fanout {
@@ -114,36 +36,6 @@
     counts: FanoutCounts,
 }
 
-#[derive(Debug)]
-struct Progress {
-    state: ShardState,
-    tried: u64,
-    running: u32,
-    latest_attempt: Option<AttemptId>,
-    earlier_attempts: Vec<AttemptId>,
-    retries: u32,
-    hedged: bool,
-    wake: Option<Instant>,
-    retired_by: usize,
-    last_problem: MissingReason,
-}
-
-#[derive(Debug)]
-enum ShardState {
-    Open,
-    Answered(Partial),
-    GivenUp,
-}
-
-#[derive(Debug)]
-struct Attempt {
-    shard: usize,
-    upstream: UpstreamIndex,
-    sent_at: Instant,
-    hedge: bool,
-    running: bool,
-}
-
 impl Fanout {
     /// Starts a query: one attempt for each shard.
     pub fn start<R: Rng>(
@@ -569,20 +461,3 @@
     let mean = latency.mean().unwrap_or_default();
     quantile.max(mean * HEDGE_MEAN_FACTOR).max(HEDGE_DELAY_MIN)
 }
-
-impl Progress {
-    fn new() -> Self {
-        Self {
-            state: ShardState::Open,
-            tried: 0,
-            running: 0,
-            latest_attempt: None,
-            earlier_attempts: Vec::new(),
-            retries: 0,
-            hedged: false,
-            wake: None,
-            retired_by: 0,
-            last_problem: MissingReason::DeadlineExceeded,
-        }
-    }
-}
--- a/crates/papayastack/src/query/mod.rs
+++ b/crates/papayastack/src/query/mod.rs
@@ -7,12 +7,15 @@
 mod budget;
 mod fanout;
 mod health;
+mod progress;
 mod quantile;
+mod spec;
 #[cfg(test)]
 mod tests;
 
 pub use attempt::{AttemptOutcome, FailureReason, NotRunReason};
 pub use budget::Budgets;
-pub use fanout::{Command, Fanout, FanoutContext, FanoutCounts, FanoutSpec};
+pub use fanout::Fanout;
 pub use health::Observations;
 pub use quantile::QuantileTracker;
+pub use spec::{Command, FanoutContext, FanoutCounts, FanoutSpec};
--- a/crates/papayastack/src/settings/local.rs
+++ b/crates/papayastack/src/settings/local.rs
@@ -1,6 +1,6 @@
 //! The settings that belong to one VM alone.
 
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 
 use serde::{Deserialize, Serialize};
 
@@ -30,6 +30,25 @@
     pub system_keys: Vec<String>,
 }
 
+impl LocalSettings {
+    /// Describes a VM on loopback with ports that the operating system chooses.
+    ///
+    /// The site is named like the data centre.
+    pub fn on_loopback(data_centre: &str, platform: SocketAddr, system_key: &str) -> Self {
+        let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        Self {
+            site: data_centre.to_owned(),
+            data_centre: data_centre.to_owned(),
+            link_address: any_port,
+            caller_address: any_port,
+            operator_address: any_port,
+            platform_addresses: vec![platform],
+            peer_addresses: Vec::new(),
+            system_keys: vec![system_key.to_owned()],
+        }
+    }
+}
+
 impl std::fmt::Debug for LocalSettings {
     /// Leaves the keys out, so that they never reach a log.
     fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
--- a/crates/papayastack/src/vm/desk.rs
+++ b/crates/papayastack/src/vm/desk.rs
@@ -8,15 +8,16 @@
 use tokio::sync::watch;
 
 use super::pending::PendingQueries;
+use super::replies::{outcome_of, outcome_of_error};
 use super::shared::lock;
 use crate::dispatch::{CancelResult, Gate, GateLimits, OfferResult, Ticket, Waiting};
 use crate::ids::{AttemptId, QueryId, ShardId, VmAddress};
 use crate::link::{LinkHub, LinkReply, SearchBatch, SearchItem, SearchResult, SourceId};
 use crate::observe::{ActiveSpan, Hop, Metrics, SpanIds, TraceContext, Tracer, attempt_name};
-use crate::query::{AttemptOutcome, FailureReason, NotRunReason};
+use crate::query::{AttemptOutcome, NotRunReason};
 use crate::routing::{Directory, UpstreamIndex, UpstreamPlace, direct_share};
 use crate::settings::{RoutingPolicy, RoutingSettings};
-use crate::upstream::{CancelRequest, SearchReply, SearchRequest, UpstreamClient, UpstreamError};
+use crate::upstream::{CancelRequest, SearchRequest, UpstreamClient};
 
 /// The source of sub-requests that this VM makes itself.
 pub(crate) const LOCAL_SOURCE: SourceId = 0;
@@ -450,37 +451,3 @@
 fn queue_len(gate: &Gate) -> u32 {
     u32::try_from(gate.waiting_len()).unwrap_or(u32::MAX)
 }
-
-fn outcome_of(reply: SearchReply, request: &SearchRequest) -> AttemptOutcome {
-    match reply {
-        SearchReply::Found { query, attempt, partial } => {
-            let ours = query == request.query
-                && attempt == request.attempt
-                && partial.shard == request.shard
-                && partial.snapshot == request.snapshot;
-            if ours {
-                AttemptOutcome::Answered(partial)
-            } else {
-                AttemptOutcome::Failed(FailureReason::Malformed)
-            }
-        }
-        SearchReply::Shed { .. } => AttemptOutcome::NotRun(NotRunReason::Shed),
-        SearchReply::Draining => AttemptOutcome::NotRun(NotRunReason::Draining),
-        SearchReply::SnapshotRetired { .. } => {
-            AttemptOutcome::NotRun(NotRunReason::SnapshotRetired)
-        }
-        SearchReply::WrongShard => AttemptOutcome::NotRun(NotRunReason::WrongShard),
-        SearchReply::Cancelled => AttemptOutcome::Failed(FailureReason::Cancelled),
-    }
-}
-
-fn outcome_of_error(error: &UpstreamError, past_deadline: bool) -> AttemptOutcome {
-    match error {
-        UpstreamError::NotSent { .. } => AttemptOutcome::NotRun(NotRunReason::ConnectFailed),
-        UpstreamError::AnswerLost { .. } if past_deadline => {
-            AttemptOutcome::Failed(FailureReason::DeadlineExceeded)
-        }
-        UpstreamError::AnswerLost { .. } => AttemptOutcome::Failed(FailureReason::AnswerLost),
-        UpstreamError::Malformed { .. } => AttemptOutcome::Failed(FailureReason::Malformed),
-    }
-}
--- a/crates/papayastack/src/vm/mod.rs
+++ b/crates/papayastack/src/vm/mod.rs
@@ -10,6 +10,7 @@
 mod pending;
 mod prune;
 mod query_run;
+mod replies;
 mod service;
 mod shared;
 mod start;
