Correct the description of a missing reason

Cause: the text of MissingReason::Cancelled spoke of a concurrency limit that does not set it. Change: the text. Conclusion: the description fits the use.

--- a/crates/papayastack/src/outcome/coverage.rs
+++ b/crates/papayastack/src/outcome/coverage.rs
@@ -19,7 +19,7 @@
     SnapshotRetired,
     /// The shard has no replica in the shard map.
     NoReplica,
-    /// The service's concurrency limit left no room for the shard.
+    /// Every attempt was cancelled.
     Cancelled,
 }
 
