Test that the urgent class keeps its share of the limit

Cause: with the shares of the classes taken out, no test failed; the rule that one query of each class is always admitted covered for them. Conclusion: both rules of admission have a test of their own.

--- a/crates/papayastack/src/admission/tests.rs
+++ b/crates/papayastack/src/admission/tests.rs
@@ -67,3 +67,13 @@
 
     assert_eq!(admitted.count(), 2);
 }
+
+#[test]
+fn the_urgent_class_keeps_a_share_of_the_limit_for_itself() {
+    let mut admission = Admission::new();
+    let sweeps = fill(&mut admission, Sweep);
+
+    let lookups = fill(&mut admission, Lookup);
+
+    assert!(lookups * 10 >= sweeps, "{sweeps} sweeps left room for {lookups} lookups");
+}
