--- a/crates/papayastack/src/vm/submit.rs
+++ b/crates/papayastack/src/vm/submit.rs
@@ -47,6 +47,11 @@
         (id, receiver)
     }
 
+    /// Forgets a submission that no longer waits; a later answer is dropped.
+    fn forget(&self, id: RelayId) {
+        lock(&self.waiting).remove(&id);
+    }
+
     /// Hands an owner's answer to the submission that waits for it.
     pub(crate) fn answered(&self, from: VmAddress, id: RelayId, result: RelayResult) {
         let mut waiting = lock(&self.waiting);
@@ -158,7 +163,7 @@
         remaining_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
     };
     if !shared.hub.send(owner, LinkRequest::Submit(relay)) {
-        shared.relays.answered(owner, id, RelayResult::Refused(overloaded()));
+        shared.relays.forget(id);
         return shared.submissions.submit(submission, deadline).await;
     }
     let until = tokio::time::Instant::from_std(deadline);
@@ -172,6 +177,7 @@
             result.map_err(|refusal| remember_owner(owner, &refusal))
         }
         Err(_) => {
+            shared.relays.forget(id);
             let mut custody = Custody::new();
             custody.handed_to(owner.to_string());
             let detail = "the deadline passed while the submission's owner held it; \
@@ -188,10 +194,6 @@
     custody.refuse(refusal.reason(), refusal.detail(), refusal.retry_after())
 }
 
-fn overloaded() -> Refusal {
-    Custody::new().refuse(RefusalReason::Overloaded, "the link to the owner is full", None)
-}
-
 /// Runs a submission that a peer relayed and replies on the peer's link.
 pub(crate) fn run_relayed(shared: &Arc<Shared>, source: SourceId, relay: SubmissionRelay) {
     let shared = Arc::clone(shared);
