Draw lines and lock tables in one place each

Ruled out: merging the other pairs that were listed: query and submit handlers differ in type and check, and the test platforms of two slices serve different tests. Conclusion: behaviour is the same.

--- a/crates/papayastack/examples/membership_cost/fit.rs
+++ b/crates/papayastack/examples/membership_cost/fit.rs
@@ -2,6 +2,7 @@
 
 use serde_json::{Value, json};
 
+use crate::line::line;
 use crate::steady::Steady;
 use crate::{TARGET_MEMBERS, TARGET_MEMBERS_PER_REGION};
 
@@ -23,14 +24,3 @@
             log_base + log_slope * TARGET_MEMBERS_PER_REGION.log2(),
     })
 }
-
-/// Returns base and slope of the least-squares line.
-fn line(points: &[(f64, f64)]) -> (f64, f64) {
-    let count = points.len() as f64;
-    let mean_x = points.iter().map(|(x, _)| x).sum::<f64>() / count;
-    let mean_y = points.iter().map(|(_, y)| y).sum::<f64>() / count;
-    let covariance: f64 = points.iter().map(|(x, y)| (x - mean_x) * (y - mean_y)).sum();
-    let variance: f64 = points.iter().map(|(x, _)| (x - mean_x).powi(2)).sum();
-    let slope = if variance == 0.0 { 0.0 } else { covariance / variance };
-    (mean_y - slope * mean_x, slope)
-}
--- a/crates/papayastack/examples/membership_cost/main.rs
+++ b/crates/papayastack/examples/membership_cost/main.rs
@@ -9,6 +9,8 @@
 mod detection;
 mod fit;
 mod fleet;
+#[path = "../path_cost/line.rs"]
+mod line;
 mod machine;
 mod steady;
 mod transports;
--- a/crates/papayastack/examples/path_cost/main.rs
+++ b/crates/papayastack/examples/path_cost/main.rs
@@ -6,6 +6,7 @@
 mod decisions;
 mod fit;
 mod frames;
+mod line;
 mod links;
 mod ownership;
 
--- a/crates/papayastack/src/vm/pending.rs
+++ b/crates/papayastack/src/vm/pending.rs
@@ -1,11 +1,12 @@
 //! The queries that wait for replies, and the way of a reply to its query.
 
 use std::collections::BTreeMap;
+use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Mutex, PoisonError};
 
 use tokio::sync::mpsc;
 
+use super::shared::lock;
 use crate::ids::{QueryId, VmAddress};
 use crate::link::SearchResult;
 
@@ -29,18 +30,18 @@
     /// Registers a query and returns where its events arrive.
     pub(crate) fn register(&self, query: QueryId) -> mpsc::UnboundedReceiver<QueryEvent> {
         let (sender, receiver) = mpsc::unbounded_channel();
-        self.lock().insert(query, sender);
+        lock(&self.waiting).insert(query, sender);
         receiver
     }
 
     /// Forgets a query; later replies to it are dropped and counted.
     pub(crate) fn forget(&self, query: QueryId) {
-        self.lock().remove(&query);
+        lock(&self.waiting).remove(&query);
     }
 
     /// Hands a result to its query.
     pub(crate) fn deliver(&self, result: SearchResult) {
-        let sender = self.lock().get(&result.query).cloned();
+        let sender = lock(&self.waiting).get(&result.query).cloned();
         let delivered = sender.is_some_and(|s| s.send(QueryEvent::Result(result)).is_ok());
         if !delivered {
             self.dropped.fetch_add(1, Ordering::Relaxed);
@@ -49,24 +50,18 @@
 
     /// Tells every query that a peer is lost.
     pub(crate) fn peer_lost(&self, peer: VmAddress) {
-        for sender in self.lock().values() {
+        for sender in lock(&self.waiting).values() {
             let _ = sender.send(QueryEvent::PeerLost(peer));
         }
     }
 
     /// Returns how many queries wait.
     pub(crate) fn len(&self) -> usize {
-        self.lock().len()
+        lock(&self.waiting).len()
     }
 
     /// Returns how many replies came for queries that no longer wait.
     pub(crate) fn dropped(&self) -> u64 {
         self.dropped.load(Ordering::Relaxed)
     }
-
-    fn lock(
-        &self,
-    ) -> std::sync::MutexGuard<'_, BTreeMap<QueryId, mpsc::UnboundedSender<QueryEvent>>> {
-        self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
-    }
 }
