--- a/crates/papayastack/src/forward/mod.rs
+++ b/crates/papayastack/src/forward/mod.rs
@@ -26,6 +26,8 @@
 mod route;
 mod settings;
 mod state;
+#[cfg(test)]
+mod tests;
 
 pub use edge::{
     AddressCaller, Change, Changes, EntryFault, FeedStore, HeaderNames, IngressFormat, Listing,
--- /dev/null
+++ b/crates/papayastack/src/forward/tests/registry.rs
@@ -0,0 +1,128 @@
+//! Tests of which upstreams may be used.
+
+use std::time::{Duration, Instant};
+
+use crate::forward::registry::{Registry, RegistryNote, UnusableReason};
+use crate::forward::{Change, EntryFault, Named, UpstreamEntry, UpstreamState};
+
+fn entry(service: &str, port: u16) -> UpstreamEntry {
+    UpstreamEntry {
+        service: service.to_owned(),
+        address: ([127, 0, 0, 1], port).into(),
+        data_centre: "a".to_owned(),
+        slots: 5,
+        state: UpstreamState::Ready,
+        cold_remaining: Duration::ZERO,
+        started_unix_ms: 1_000,
+        sequence: 4,
+    }
+}
+
+fn named(name: &str, entry: UpstreamEntry) -> Named<UpstreamEntry> {
+    Named { name: name.to_owned(), content: Ok(entry) }
+}
+
+fn malformed(name: &str) -> Named<UpstreamEntry> {
+    let fault = EntryFault { detail: "missing field `address`".to_owned() };
+    Named { name: name.to_owned(), content: Err(fault) }
+}
+
+fn removed(name: &str) -> Change<UpstreamEntry> {
+    Change::Removed { name: name.to_owned() }
+}
+
+/// A registry that knows `one` and `two` of the service `board`.
+fn registry(now: Instant) -> Registry {
+    let mut registry = Registry::default();
+    registry.on_list(vec![named("one", entry("board", 1)), named("two", entry("board", 2))], now);
+    registry
+}
+
+fn usable(registry: &Registry) -> Vec<String> {
+    registry.set().by_index.values().map(|target| target.id.clone()).collect()
+}
+
+#[test]
+fn a_leaving_upstream_is_not_used() {
+    let now = Instant::now();
+    let mut registry = registry(now);
+    let leaving = UpstreamEntry { state: UpstreamState::Leaving, sequence: 5, ..entry("board", 1) };
+
+    let notes = registry.on_changes(vec![Change::Put(named("one", leaving))], now);
+
+    assert_eq!(usable(&registry), ["two"]);
+    let reason = UnusableReason::Leaving;
+    assert_eq!(notes, [RegistryNote::Unusable { id: "one".to_owned(), reason }]);
+}
+
+#[test]
+fn a_malformed_entry_names_no_upstream_and_the_others_hold() {
+    let now = Instant::now();
+    let mut registry = registry(now);
+
+    registry.on_changes(vec![Change::Put(malformed("one")), Change::Put(malformed("three"))], now);
+
+    assert_eq!(usable(&registry), ["two"]);
+}
+
+#[test]
+fn a_delayed_older_word_does_not_bring_an_upstream_back() {
+    let now = Instant::now();
+    let mut registry = registry(now);
+    let leaving = UpstreamEntry { state: UpstreamState::Leaving, sequence: 9, ..entry("board", 1) };
+    registry.on_changes(vec![Change::Put(named("one", leaving)), removed("one")], now);
+
+    registry.on_changes(vec![Change::Put(named("one", entry("board", 1)))], now);
+
+    assert_eq!(usable(&registry), ["two"]);
+}
+
+#[test]
+fn an_upstream_that_started_anew_under_its_id_is_another_one() {
+    let now = Instant::now();
+    let mut registry = registry(now);
+    let before = registry.set().version;
+    let restarted = UpstreamEntry { started_unix_ms: 2_000, sequence: 1, ..entry("board", 1) };
+
+    registry.on_changes(vec![Change::Put(named("one", restarted))], now);
+
+    assert_eq!(registry.set().by_index.len(), 2);
+    assert_ne!(registry.set().version, before);
+}
+
+#[test]
+fn an_entry_that_lapsed_in_an_outage_is_held_until_it_can_be_back() {
+    let now = Instant::now();
+    let mut registry = registry(now);
+    registry.store_failed(now);
+
+    registry.on_list(vec![named("two", entry("board", 2))], now + Duration::from_secs(1));
+
+    assert_eq!(usable(&registry).len(), 2);
+    registry.on_tick(now + Duration::from_millis(3_100));
+    assert_eq!(usable(&registry).len(), 2);
+    registry.on_tick(now + Duration::from_millis(3_300));
+    assert_eq!(usable(&registry), ["two"]);
+}
+
+#[test]
+fn an_entry_removed_while_the_store_answers_is_gone_at_once() {
+    let now = Instant::now();
+    let mut registry = registry(now);
+
+    registry.on_changes(vec![removed("one")], now);
+
+    assert_eq!(usable(&registry), ["two"]);
+}
+
+#[test]
+fn the_last_entry_of_a_service_is_held_for_a_while() {
+    let now = Instant::now();
+    let mut registry = registry(now);
+
+    registry.on_changes(vec![removed("one"), removed("two")], now);
+
+    assert_eq!(usable(&registry), ["two"]);
+    registry.on_tick(registry.next_wake().unwrap());
+    assert!(usable(&registry).is_empty());
+}
--- /dev/null
+++ b/crates/papayastack/src/forward/tests/routes.rs
@@ -0,0 +1,80 @@
+//! Tests of the choice of a route.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::forward::{
+    CallerLimits, RequestKind, Route, RouteDocument, RouteTable, RouteTarget, ShardTarget,
+};
+
+pub(super) fn route(name: &str, host: &str, path_prefix: &str) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: host.to_owned(),
+        path_prefix: path_prefix.to_owned(),
+        target: RouteTarget::Service("board".to_owned()),
+        kind: RequestKind::Safe,
+        timeout: Duration::from_millis(1_000),
+        goal: Duration::from_millis(200),
+        priority: 0,
+        attempts_max: 2,
+    }
+}
+
+pub(super) fn shard_target(shards: usize, covered_min_ppm: u32) -> ShardTarget {
+    ShardTarget {
+        services: (0..shards).map(|shard| format!("shard-{shard}")).collect(),
+        records_max: 5,
+        covered_min_ppm,
+    }
+}
+
+fn table(routes: Vec<Route>) -> RouteTable {
+    let limits = CallerLimits {
+        head_max_bytes: 16_384,
+        body_max_bytes: 262_144,
+        head_timeout: Duration::from_secs(3),
+        idle_timeout: Duration::from_secs(15),
+    };
+    RouteTable::new(RouteDocument { version: 7, routes, services: BTreeMap::new(), limits })
+}
+
+fn found(table: &RouteTable, host: &str, path: &str) -> Option<String> {
+    table.find(host, path).map(|route| route.name.clone())
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let table = table(vec![
+        route("short", "a.example", "/search/"),
+        route("long", "a.example", "/search/deep/"),
+        route("elsewhere", "b.example", "/search/deep/er/"),
+    ]);
+
+    assert_eq!(found(&table, "a.example", "/search/deep/er/x").as_deref(), Some("long"));
+    assert_eq!(found(&table, "a.example", "/search/x").as_deref(), Some("short"));
+}
+
+#[test]
+fn a_prefix_ends_at_its_slash() {
+    let table = table(vec![route("short", "a.example", "/search/")]);
+
+    assert_eq!(found(&table, "a.example", "/searching/x"), None);
+    assert_eq!(found(&table, "a.example", "/search"), None);
+}
+
+#[test]
+fn the_host_is_compared_without_case_and_port() {
+    let table = table(vec![route("short", "a.example", "/search/")]);
+
+    assert_eq!(found(&table, "A.Example:8080", "/search/x").as_deref(), Some("short"));
+    assert_eq!(found(&table, "b.example", "/search/x"), None);
+}
+
+#[test]
+fn the_least_coverage_is_rounded_up() {
+    assert_eq!(shard_target(10, 890_000).covered_min(), 9);
+    assert_eq!(shard_target(10, 750_000).covered_min(), 8);
+    assert_eq!(shard_target(10, 1_000_000).covered_min(), 10);
+    assert_eq!(shard_target(10, 0).covered_min(), 1);
+}
