Drop the hold on the last upstream of a service

Ruled out: a late watch (the entry was read 0.4 s after the store took it) and trouble of the store (no call had failed). Change: a missing entry is held only while calls to the store failed shortly before.

--- a/crates/papayastack/src/forward/registry.rs
+++ b/crates/papayastack/src/forward/registry.rs
@@ -259,9 +259,7 @@
         }
         let troubled =
             self.troubled_at.is_some_and(|at| now.saturating_duration_since(at) < TROUBLE_HOLD);
-        let hold = known.entry.state == UpstreamState::Ready
-            && (troubled || self.is_last_of_its_service(known));
-        if !hold {
+        if !troubled || known.entry.state != UpstreamState::Ready {
             self.drop_known(id, UnusableReason::Removed, now, notes);
             return;
         }
@@ -271,17 +269,6 @@
         }
     }
 
-    /// Tells whether no other upstream of the service is usable: more likely its entries lapsed
-    /// than that a service was emptied without a word.
-    fn is_last_of_its_service(&self, known: &Known) -> bool {
-        !self.known.values().any(|other| {
-            other.index != known.index
-                && other.entry.service == known.entry.service
-                && other.entry.state == UpstreamState::Ready
-                && other.missing_until.is_none()
-        })
-    }
-
     fn drop_known(
         &mut self,
         id: &str,
