Choose upstreams by what their failures cost; leave repeats for attempts that failed

Ruled out: want of room (the sound replicas bear 62% of the load, the rest needs 0.23 repeats a request); hedges as the main user of repeats (0.02 a request in the model). Change: the expected time to an answer takes in the share of recent failures, priced by how scarce repeats are, most for the last attempt; hedges stop at six tenths of the bound. Test: forward::tests::load, a model in virtual time around the real decisions, failed first.

--- a/crates/papayastack/src/forward/state.rs
+++ b/crates/papayastack/src/forward/state.rs
@@ -109,7 +109,8 @@
 }
 
 impl ForwardDecisions {
-    fn new(random: SmallRng) -> Self {
+    /// Starts without observations.
+    pub(crate) fn new(random: SmallRng) -> Self {
         Self {
             observations: Observations::new(),
             budgets: Budgets::new(),
--- a/crates/papayastack/src/forward/tests/gathering.rs
+++ b/crates/papayastack/src/forward/tests/gathering.rs
@@ -202,7 +202,7 @@
     let now = rig.now;
 
     let chosen: Vec<usize> = (0..20)
-        .filter_map(|_| rig.observations.choose(&[0, 1, 2], &[], now, &mut rig.random))
+        .filter_map(|_| rig.observations.choose(&[0, 1, 2], &[], 0.0, now, &mut rig.random))
         .collect();
 
     assert!(!chosen.contains(&0));
--- a/crates/papayastack/src/forward/tests/mod.rs
+++ b/crates/papayastack/src/forward/tests/mod.rs
@@ -1,6 +1,8 @@
 //! Tests of forwarding.
 
 mod gathering;
+mod load;
+mod model;
 mod plan;
 mod records;
 mod registry;
--- a/crates/papayastack/src/forward/tests/windows.rs
+++ b/crates/papayastack/src/forward/tests/windows.rs
@@ -26,7 +26,7 @@
     for request in 0..(requests_per_s * length.as_secs() as u32) {
         let now = start + Duration::from_secs(1) * request / requests_per_s;
         windows.request(&service, now);
-        while windows.take(&service, now) {
+        while windows.take_retry(&service, now) {
             taken.push(now);
         }
     }
@@ -53,7 +53,7 @@
     let mut windows = windows(4);
     let now = Instant::now();
 
-    let taken = (0..100).filter(|_| windows.take(&"board".to_owned(), now)).count();
+    let taken = (0..100).filter(|_| windows.take_retry(&"board".to_owned(), now)).count();
 
     assert!((1..=14).contains(&taken), "{taken} repeats");
 }
@@ -63,10 +63,10 @@
     let mut windows = windows(4);
     let now = Instant::now();
     let service = "board".to_owned();
-    while windows.take(&service, now) {}
+    while windows.take_retry(&service, now) {}
 
     windows.refund(&service);
 
-    assert!(windows.take(&service, now));
-    assert!(!windows.take(&service, now));
+    assert!(windows.take_retry(&service, now));
+    assert!(!windows.take_retry(&service, now));
 }
--- a/crates/papayastack/src/query/budget.rs
+++ b/crates/papayastack/src/query/budget.rs
@@ -57,6 +57,11 @@
         take(&mut self.retry_tokens_permille)
     }
 
+    /// Returns how far the tokens of retries are used up, from 0 to 1.
+    pub(crate) fn retries_used_share(&self) -> f64 {
+        1.0 - self.retry_tokens_permille as f64 / TOKENS_MAX_PERMILLE as f64
+    }
+
     /// Gives back the tokens of a retry that sent nothing to an upstream.
     pub fn refund_retry(&mut self) {
         self.retry_tokens_permille =
--- a/crates/papayastack/src/query/gather.rs
+++ b/crates/papayastack/src/query/gather.rs
@@ -6,6 +6,7 @@
 use rand::Rng;
 
 use super::attempt::{AttemptOutcome, FailureReason, NotRunReason};
+use super::health::LATENCY_UNIT;
 use super::progress::{Attempt, Progress, ShardState};
 use super::quantile::QuantileTracker;
 use super::spec::{
@@ -20,8 +21,6 @@
 const RETRY_PAUSE_INITIAL: Duration = Duration::from_millis(4);
 /// The longest pause before a shard whose replicas all failed is tried again.
 const RETRY_PAUSE_MAX: Duration = Duration::from_millis(250);
-/// The mean latency to which the latencies of all kinds of requests are scaled.
-const LATENCY_UNIT: Duration = Duration::from_millis(10);
 /// How many times the mean latency an attempt must take before it is hedged.
 const HEDGE_MEAN_FACTOR: u32 = 2;
 /// The shortest hedge delay.
@@ -390,14 +389,14 @@
     /// Pays for a retry out of the window of the shard's service, or else out of the tokens.
     fn take_retry<R: Rng>(&self, shard: usize, context: &mut FanoutContext<'_, R>) -> bool {
         match &self.spec.rules.services {
-            Some(services) => context.budgets.windows.take(&services[shard], context.now),
+            Some(services) => context.budgets.windows.take_retry(&services[shard], context.now),
             None => context.budgets.take_retry(),
         }
     }
 
     fn take_hedge<R: Rng>(&self, shard: usize, context: &mut FanoutContext<'_, R>) -> bool {
         match &self.spec.rules.services {
-            Some(services) => context.budgets.windows.take(&services[shard], context.now),
+            Some(services) => context.budgets.windows.take_hedge(&services[shard], context.now),
             None => context.budgets.take_hedge(),
         }
     }
@@ -419,7 +418,15 @@
     ) -> bool {
         let replicas = &self.spec.shards[shard].replicas;
         let tried = &self.progress[shard].tried;
-        let chosen = context.observations.choose(replicas, tried, context.now, context.random);
+        // Nothing can follow the last attempt, as if no repeat were left.
+        let last = self.progress[shard].sends + 1 >= self.spec.rules.attempts_max;
+        let scarcity = match &self.spec.rules.services {
+            _ if last => 1.0,
+            Some(services) => context.budgets.windows.used_share(&services[shard], context.now),
+            None => context.budgets.retries_used_share(),
+        };
+        let FanoutContext { observations, random, now, .. } = context;
+        let chosen = observations.choose(replicas, tried, scarcity, *now, random);
         let Some(position) = chosen else {
             return false;
         };
--- a/crates/papayastack/src/query/health.rs
+++ b/crates/papayastack/src/query/health.rs
@@ -21,6 +21,18 @@
 const WARM_ANSWERS: u32 = 16;
 /// The factor by which a cold upstream is made less attractive at first.
 const COLD_FACTOR: u64 = 4;
+/// The weight of the newest attempt in the share of attempts that were shed or failed.
+const TROUBLE_SAMPLE_WEIGHT: f64 = 0.2;
+/// The time in which that share halves without attempts, so that an upstream is tried again.
+const TROUBLE_HALF_LIFE: Duration = Duration::from_secs(3);
+/// The largest share of failed attempts that is reckoned with.
+const TROUBLE_MAX: f64 = 0.95;
+/// What a failed attempt costs while repeats are plentiful, in mean latencies.
+const REPEAT_COST_MIN: f64 = 1.0;
+/// What a failed attempt costs more once no repeat is left, in mean latencies.
+const REPEAT_COST_SCARCE: f64 = 40.0;
+/// The mean latency to which the latencies of all kinds of requests are scaled.
+pub(crate) const LATENCY_UNIT: Duration = Duration::from_millis(10);
 /// The latency assumed before the first sample.
 const LATENCY_INITIAL: Duration = Duration::from_millis(5);
 
@@ -41,6 +53,9 @@
     leaving_until: Option<Instant>,
     queue_hint: u32,
     queue_hint_until: Option<Instant>,
+    /// The share of recent attempts that were shed or failed, as of `trouble_at`.
+    trouble: f64,
+    trouble_at: Option<Instant>,
     /// How long the newest kind of request may take before silence means a stall.
     stall_after: Duration,
     /// When the upstream last answered, or got work after it had none.
@@ -57,10 +72,14 @@
     ///
     /// Ejected replicas are used only where no other is left, so that ejection never empties a
     /// shard; leaving replicas are never used. `None` where no replica may be asked.
+    ///
+    /// `scarcity` tells how far repeats are used up, from 0 to 1: the scarcer they are, the more
+    /// upstreams that fail a part of their attempts are avoided.
     pub fn choose(
         &self,
         replicas: &[UpstreamIndex],
         tried: &[usize],
+        scarcity: f64,
         now: Instant,
         random: &mut impl Rng,
     ) -> Option<usize> {
@@ -69,7 +88,7 @@
         let mut best = None;
         let usable = (0..replicas.len()).filter(untried).filter(not_leaving);
         for position in usable {
-            let (rank, load) = self.rank(replicas[position], now);
+            let (rank, load) = self.rank(replicas[position], scarcity, now);
             // Random weights between 1 and 2 keep several VMs from choosing alike.
             let weighted = load.saturating_mul(u64::from(random.random_range(1024..2048_u32)));
             if best.is_none_or(|(best_key, _)| (rank, weighted) < best_key) {
@@ -104,6 +123,9 @@
         if !matches!(outcome, AttemptOutcome::Failed(_)) {
             record.progress_at = Some(now);
         }
+        if let Some(sample) = trouble_sample(outcome) {
+            record.sample_trouble(sample, now);
+        }
         match outcome {
             AttemptOutcome::Answered(_) => record.answered(latency),
             AttemptOutcome::NotRun(reason) => match reason {
@@ -170,7 +192,7 @@
     }
 
     /// Ranks a replica: usable ones first, then by expected work ahead in microseconds.
-    fn rank(&self, upstream: UpstreamIndex, now: Instant) -> (u8, u64) {
+    fn rank(&self, upstream: UpstreamIndex, scarcity: f64, now: Instant) -> (u8, u64) {
         let Some(record) = self.records.get(upstream as usize) else {
             return (0, to_us(LATENCY_INITIAL));
         };
@@ -180,7 +202,7 @@
             (false, true) => 1,
             (true, _) => 2,
         };
-        (rank, record.load(now))
+        (rank, record.load(scarcity, now))
     }
 
     fn record(&mut self, upstream: UpstreamIndex) -> &mut Record {
@@ -204,21 +226,42 @@
             leaving_until: None,
             queue_hint: 0,
             queue_hint_until: None,
+            trouble: 0.0,
+            trouble_at: None,
             stall_after: Duration::ZERO,
             progress_at: None,
         }
     }
 
+    /// Returns the share of recent attempts that were shed or failed, as it stands at `now`.
+    fn trouble(&self, now: Instant) -> f64 {
+        let Some(at) = self.trouble_at else { return 0.0 };
+        let half_lives =
+            now.saturating_duration_since(at).as_secs_f64() / TROUBLE_HALF_LIFE.as_secs_f64();
+        self.trouble * 0.5_f64.powf(half_lives)
+    }
+
+    fn sample_trouble(&mut self, sample: f64, now: Instant) {
+        let earlier = self.trouble(now);
+        self.trouble = earlier + (sample - earlier) * TROUBLE_SAMPLE_WEIGHT;
+        self.trouble_at = Some(now);
+    }
+
     fn is_stalled(&self, now: Instant) -> bool {
         let silent_since = self.progress_at.filter(|_| self.in_flight > 0);
         silent_since.is_some_and(|at| now.saturating_duration_since(at) > self.stall_after)
     }
 
-    fn load(&self, now: Instant) -> u64 {
+    /// Returns the expected time to an answer in microseconds, with what failures are likely to cost.
+    fn load(&self, scarcity: f64, now: Instant) -> u64 {
         let hint = if in_future(self.queue_hint_until, now) { self.queue_hint } else { 0 };
         let ahead = u64::from(self.in_flight) + u64::from(hint) + 1;
         let cold = if self.answers < WARM_ANSWERS && self.in_flight > 0 { COLD_FACTOR } else { 1 };
-        ahead * self.latency_us.max(1) * cold
+        let load = ahead * self.latency_us.max(1) * cold;
+        let trouble = self.trouble(now).min(TROUBLE_MAX);
+        let failures_per_answer = trouble / (1.0 - trouble);
+        let repeat_cost = REPEAT_COST_MIN + REPEAT_COST_SCARCE * scarcity * scarcity;
+        load + (failures_per_answer * repeat_cost * to_us(LATENCY_UNIT) as f64) as u64
     }
 
     fn answered(&mut self, latency: Duration) {
@@ -248,6 +291,18 @@
     }
 }
 
+/// Returns what an outcome says of its upstream: 0 for sound, 1 for trouble.
+fn trouble_sample<P>(outcome: &AttemptOutcome<P>) -> Option<f64> {
+    match outcome {
+        AttemptOutcome::Answered(_) => Some(0.0),
+        AttemptOutcome::NotRun(NotRunReason::Shed | NotRunReason::ConnectFailed)
+        | AttemptOutcome::Failed(
+            FailureReason::AnswerLost | FailureReason::Malformed | FailureReason::UpstreamFailed,
+        ) => Some(1.0),
+        AttemptOutcome::NotRun(_) | AttemptOutcome::Failed(_) => None,
+    }
+}
+
 fn in_future(moment: Option<Instant>, now: Instant) -> bool {
     moment.is_some_and(|moment| moment > now)
 }
--- a/crates/papayastack/src/query/tests.rs
+++ b/crates/papayastack/src/query/tests.rs
@@ -368,7 +368,7 @@
     }
     let now = rig.now;
 
-    let chosen = rig.observations.choose(&[0, 1], &[], now, &mut rig.random);
+    let chosen = rig.observations.choose(&[0, 1], &[], 0.0, now, &mut rig.random);
 
     assert!(rig.observations.is_ejected(0, now) && rig.observations.is_ejected(1, now));
     assert!(chosen.is_some());
--- a/crates/papayastack/src/query/windows.rs
+++ b/crates/papayastack/src/query/windows.rs
@@ -11,6 +11,8 @@
 const BUCKETS_PER_WINDOW: u32 = 20;
 /// The part of the allowance that is used, so that VMs that count a little apart stay within it.
 const USED_SHARE: f64 = 0.85;
+/// The part of that which hedges may use up; the rest is for attempts that are known to have failed.
+const HEDGE_SHARE: f64 = 0.6;
 
 /// How many repeats a service may get from the whole system.
 #[value]
@@ -49,20 +51,42 @@
         }
     }
 
-    /// Counts one repeat if the bound allows it; without a bound, each is allowed.
-    pub fn take(&mut self, service: &ServiceName, now: Instant) -> bool {
-        let Some(settings) = self.settings else { return true };
+    /// Counts one retry if the bound allows it; without a bound, each is allowed.
+    pub fn take_retry(&mut self, service: &ServiceName, now: Instant) -> bool {
+        self.take(service, 1.0, now)
+    }
+
+    /// Counts one hedge if its part of the bound allows it; without a bound, each is allowed.
+    pub fn take_hedge(&mut self, service: &ServiceName, now: Instant) -> bool {
+        self.take(service, HEDGE_SHARE, now)
+    }
+
+    /// Returns how far the bound of a service is used up, from 0 to 1.
+    pub fn used_share(&mut self, service: &ServiceName, now: Instant) -> f64 {
+        let Some((allowed, window)) = self.allowed(service, now) else { return 0.0 };
+        if allowed > 0.0 { (window.repeats() / allowed).min(1.0) } else { 1.0 }
+    }
+
+    fn take(&mut self, service: &ServiceName, part: f64, now: Instant) -> bool {
+        let Some((allowed, window)) = self.allowed(service, now) else { return true };
+        if window.repeats() + 1.0 > allowed * part {
+            return false;
+        }
+        if let Some(bucket) = window.buckets.back_mut() {
+            bucket.repeats += 1;
+        }
+        true
+    }
+
+    /// Returns the repeats that this VM may send to a service, with the window up to `now`.
+    fn allowed(&mut self, service: &ServiceName, now: Instant) -> Option<(f64, &mut Window)> {
+        let settings = self.settings?;
         let vms = f64::from(self.vms);
         let window = self.window(service);
         window.bucket(now, settings.window);
         let share = f64::from(settings.repeats_permille) / 1_000.0;
-        let allowed =
-            (window.requests() * share + f64::from(settings.repeats_extra) / vms) * USED_SHARE;
-        if window.repeats() + 1.0 > allowed {
-            return false;
-        }
-        window.bucket(now, settings.window).repeats += 1;
-        true
+        let whole = window.requests() * share + f64::from(settings.repeats_extra) / vms;
+        Some((whole * USED_SHARE, window))
     }
 
     /// Takes back the newest repeat of a service, which sent nothing.
