--- a/crates/papayastack-control/src/commands/files.rs
+++ b/crates/papayastack-control/src/commands/files.rs
@@ -1,7 +1,9 @@
 //! The commands that work on files alone.
 
+use std::path::Path;
+
 use json_patch::{Patch, PatchOperation};
-use papayastack::render;
+use papayastack::{GatewaySettings, render};
 use serde_json::{Value, json};
 
 use super::{print_complaints, print_json};
@@ -27,6 +29,32 @@
     Exit::Success
 }
 
+/// Checks the settings of a VM that forwards.
+pub(crate) fn check_gateway(file: &Path, json: bool) -> Exit {
+    let name = file.display().to_string();
+    let complaints = match std::fs::read_to_string(file) {
+        Ok(text) => match GatewaySettings::parse(&text) {
+            Ok(_) => Vec::new(),
+            Err(faults) => faults
+                .into_iter()
+                .map(|fault| Complaint::from_fault(name.clone(), "", fault))
+                .collect(),
+        },
+        Err(error) => {
+            vec![Complaint::about_file(name, error.to_string(), "name a file that can be read")]
+        }
+    };
+    if !complaints.is_empty() {
+        return print_complaints(&complaints, json);
+    }
+    if json {
+        print_json(&json!({ "faults": [] }));
+    } else {
+        println!("The settings are right.");
+    }
+    Exit::Success
+}
+
 /// Prints the settings of one site with all defaults.
 pub(crate) fn render_site(source: &Source, site: &str, json: bool) -> Exit {
     let loaded = match source.load() {
--- a/crates/papayastack-control/src/commands/mod.rs
+++ b/crates/papayastack-control/src/commands/mod.rs
@@ -1,6 +1,7 @@
 //! The commands.
 
 mod apply;
+mod explain;
 mod files;
 mod vms;
 
@@ -14,6 +15,8 @@
 pub(crate) async fn run(command: Command, json: bool) -> Exit {
     match command {
         Command::Check { source } => files::check(&source, json),
+        Command::CheckGateway { file } => files::check_gateway(&file, json),
+        Command::Explain { request, logs } => explain::run(&request, &logs, json),
         Command::Render { source, site } => files::render_site(&source, &site, json),
         Command::DiffSites { source, left, right } => {
             files::diff_sites(&source, &left, &right, json)
--- a/crates/papayastack-control/src/options.rs
+++ b/crates/papayastack-control/src/options.rs
@@ -17,6 +17,8 @@
 
 Commands:
   check [FILES]                     check the base by itself and with every overlay
+  check --gateway FILE              check the settings of a VM that forwards
+  explain ID LOG...                 print the way of a request from the decision lines of VMs
   render --site NAME [FILES]        print the settings of one site
   diff [FILES] --site A --site B    print what differs between two sites
   diff PATH PATH [--site NAME]      print what differs between two configurations
@@ -55,9 +57,10 @@
   6  not in force on all VMs, or a VM did not answer
 ";
 
-const COMMANDS: [&str; 9] =
-    ["check", "render", "diff", "fetch", "apply", "status", "drain", "settings", "help"];
-const OPTIONS: [&str; 13] = [
+const COMMANDS: [&str; 10] =
+    ["explain", "check", "render", "diff", "fetch", "apply", "status", "drain", "settings", "help"];
+const OPTIONS: [&str; 14] = [
+    "--gateway",
     "--base",
     "--overlay",
     "--site",
@@ -86,6 +89,8 @@
 #[derive(Debug)]
 pub(crate) enum Command {
     Check { source: Source },
+    CheckGateway { file: PathBuf },
+    Explain { request: String, logs: Vec<PathBuf> },
     Render { source: Source, site: String },
     DiffSites { source: Source, left: String, right: String },
     DiffSources { left: Source, right: Source, site: Option<String> },
@@ -110,6 +115,7 @@
 
 /// Everything that the options may say, before it is known which of it the command takes.
 struct Options {
+    gateway: Option<PathBuf>,
     base: Option<PathBuf>,
     overlays: Vec<(String, PathBuf)>,
     sites: Vec<String>,
@@ -154,6 +160,7 @@
 impl Options {
     fn read(mut arguments: Arguments) -> Result<Self, String> {
         let options = Self {
+            gateway: named("--gateway", arguments.opt_value_from_os_str("--gateway", to_path))?,
             base: named("--base", arguments.opt_value_from_os_str("--base", to_path))?,
             overlays: named("--overlay", arguments.values_from_fn("--overlay", to_overlay))?,
             sites: named("--site", arguments.values_from_str("--site"))?,
@@ -176,7 +183,14 @@
     fn into_command(mut self, name: &str) -> Result<Command, String> {
         self.refuse_unused(name)?;
         match name {
-            "check" => Ok(Command::Check { source: self.source()? }),
+            "check" => match self.gateway.take() {
+                Some(file) if self.paths.is_empty() && self.base.is_none() => {
+                    Ok(Command::CheckGateway { file })
+                }
+                Some(_) => Err("check takes --gateway FILE alone".into()),
+                None => Ok(Command::Check { source: self.source()? }),
+            },
+            "explain" => self.into_explain(),
             "render" => Ok(Command::Render { site: self.site()?, source: self.source()? }),
             "diff" => self.into_diff(),
             "fetch" => Ok(Command::Fetch { platform: self.platform()? }),
@@ -205,6 +219,14 @@
         Ok(Command::DiffSites { source: self.source()?, left, right })
     }
 
+    fn into_explain(mut self) -> Result<Command, String> {
+        if self.paths.len() < 2 {
+            return Err("explain needs the id of a request and at least one file of lines".into());
+        }
+        let request = self.paths.remove(0).to_string_lossy().into_owned();
+        Ok(Command::Explain { request, logs: self.paths })
+    }
+
     fn into_apply(mut self) -> Result<ApplyCommand, String> {
         let source = self.source()?;
         let platform = self.platform()?;
@@ -236,7 +258,8 @@
         let given = [
             ("--base", self.base.is_some(), takes_files),
             ("--overlay", !self.overlays.is_empty(), takes_files),
-            ("a path", !self.paths.is_empty(), takes_files),
+            ("--gateway", self.gateway.is_some(), name == "check"),
+            ("a path", !self.paths.is_empty(), takes_files || name == "explain"),
             ("--site", !self.sites.is_empty(), matches!(name, "render" | "diff")),
             ("--platform", !self.platform.is_empty(), takes_platform),
             ("--operator", !self.operators.is_empty(), takes_operator),
--- a/crates/papayastack-standin/src/platform/service.rs
+++ b/crates/papayastack-standin/src/platform/service.rs
@@ -155,9 +155,8 @@
                 return Ok(Json(json!({ "events": events, "store_revision": revision })));
             }
         }
-        match tokio::time::timeout_at(until, changed.changed()).await {
-            Ok(Err(_closed)) => return Err(Stop::Unavailable),
-            Ok(Ok(())) | Err(_) => {}
+        if let Ok(Err(_closed)) = tokio::time::timeout_at(until, changed.changed()).await {
+            return Err(Stop::Unavailable);
         }
     }
 }
--- a/crates/papayastack/src/forward/exchange.rs
+++ b/crates/papayastack/src/forward/exchange.rs
@@ -84,6 +84,7 @@
             }
         }
         let counts = self.gather.counts();
+        self.task.state.metrics.repeats(counts);
         let end = ExchangeEnd {
             unresolved: counts.unresolved + self.gather.running() as u64,
             parts: self.gather.take_parts(),
@@ -115,6 +116,7 @@
             self.log_problem(upstream, &outcome, &detail);
             self.last_problem = detail;
         }
+        self.task.state.metrics.attempt_ended(&outcome);
         self.failure = failure.or(self.failure.take());
         let commands = {
             let mut decisions = self.task.state.decisions();
--- a/crates/papayastack/src/forward/feeds.rs
+++ b/crates/papayastack/src/forward/feeds.rs
@@ -12,6 +12,7 @@
 use super::registry::{Registry, RegistryNote};
 use super::route::{RouteDocument, RouteTable};
 use super::state::ForwardState;
+use crate::ids::VmAddress;
 use crate::membership::Membership;
 use crate::observe::DecisionEvent;
 use crate::platform::{ListedState, ListedVm, PlatformError};
@@ -69,6 +70,7 @@
     }
 
     fn failed(&mut self, error: &PlatformError) {
+        self.state.metrics.store_call(self.feed, Some(error));
         if self.lost_at.is_none() {
             self.lost_at = Some(Instant::now());
             self.state.log.write(
@@ -79,6 +81,7 @@
     }
 
     fn answered(&mut self) {
+        self.state.metrics.store_call(self.feed, None);
         if let Some(lost_at) = self.lost_at.take() {
             self.state.log.write(
                 DecisionEvent::StoreRegained,
@@ -225,7 +228,7 @@
 async fn behind_peers(state: &ForwardState) {
     let mut members = state.members.clone();
     loop {
-        let own = state.routes.borrow().as_ref().map_or(0, |table| table.document().version);
+        let own = state.routes_version();
         let ahead = |members: &crate::membership::MemberView| {
             members.members.values().any(|member| member.configuration_version > own)
         };
@@ -234,7 +237,7 @@
             std::future::pending::<()>().await;
         }
         sleep(BEHIND_PEERS_MAX).await;
-        let own_now = state.routes.borrow().as_ref().map_or(0, |table| table.document().version);
+        let own_now = state.routes_version();
         if own_now == own {
             return;
         }
@@ -273,6 +276,7 @@
     membership: Arc<Membership>,
 ) {
     let mut backoff = Backoff::new();
+    let mut standing = StoreStanding::new(&state, "vms");
     let own = ListedVm {
         address: membership.address(),
         data_centre: state.settings.data_centre.clone(),
@@ -280,9 +284,10 @@
         state: ListedState::Live,
     };
     while let Err(error) = store.register_vm(&own).await {
-        log::warn!(target: "papaya::forward", "forward: Cannot record this VM: {error}.");
+        standing.failed(&error);
         sleep(backoff.pause()).await;
     }
+    standing.answered();
     let mut pause = REGISTER_TIME;
     loop {
         let jitter = rand::rng().random_range(0.8..1.2);
@@ -290,13 +295,12 @@
         pause = (pause * 2).min(ALONE_PAUSE_MAX);
         match store.list_vms().await {
             Ok(vms) => {
+                standing.answered();
                 let known = u32::try_from(vms.len()).unwrap_or(u32::MAX);
                 state.set_vms_known(known);
                 membership.set_peers(vms.into_iter().map(|vm| vm.address).collect());
             }
-            Err(error) => {
-                log::warn!(target: "papaya::forward", "forward: Cannot list the VMs: {error}.");
-            }
+            Err(error) => standing.failed(&error),
         }
         let mut members = state.members.clone();
         // Ends as soon as another VM is known; afterwards the members tell each other.
@@ -312,10 +316,19 @@
     let mut members = state.members.clone();
     let mut routes = state.routes.subscribe();
     let mut upstreams = state.upstreams.subscribe();
+    let mut live_before: Vec<VmAddress> = Vec::new();
     loop {
         let view = members.borrow_and_update().clone();
         let seen = u32::try_from(view.members.len()).unwrap_or(u32::MAX);
         state.set_vms_known(seen);
+        let live: Vec<VmAddress> = view.live().map(|member| member.identity.address).collect();
+        if live != live_before {
+            state.log.write(
+                DecisionEvent::MembersChanged,
+                || json!({ "live": live, "live_before": live_before }),
+            );
+            live_before = live;
+        }
         let version = routes.borrow_and_update().as_ref().map(|table| table.document().version);
         if let (Some(version), true) = (version, upstreams.borrow_and_update().is_some())
             && !state.leaving.load(Ordering::Acquire)
--- a/crates/papayastack/src/forward/gateway.rs
+++ b/crates/papayastack/src/forward/gateway.rs
@@ -13,12 +13,14 @@
 use super::edge::{FeedStore, IngressFormat};
 use super::feeds::{find_vms, follow_members, follow_routes, follow_upstreams};
 use super::ingress::{caller_router, directory_router, ready_router};
+use super::operators::GatewayOperators;
 use super::settings::GatewaySettings;
 use super::state::ForwardState;
 use crate::addresses::Leaving;
 use crate::listen::HttpServer;
 use crate::membership::{Member, MemberState, Membership, VmIdentity};
 use crate::observe::{DecisionEvent, DecisionLog};
+use crate::operator::OperatorServer;
 use crate::seal::Keyring;
 use crate::settings::MembershipSettings;
 
@@ -66,6 +68,7 @@
     callers: HttpServer,
     ready: HttpServer,
     directory: HttpServer,
+    operators: OperatorServer,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -99,6 +102,11 @@
         let ready = bind(settings.ready_address, ready_router(Arc::clone(&state))).await?;
         let directory =
             bind(settings.directory_address, directory_router(Arc::clone(&state))).await?;
+        let operator_address = settings.operator_address;
+        let service = Arc::new(GatewayOperators::new(Arc::clone(&state)));
+        let operators = OperatorServer::bind(operator_address, service)
+            .await
+            .change_context(GatewayError::Bind { address: operator_address })?;
         membership.set_caller_address(callers.address());
         let tasks = vec![
             tokio::spawn(follow_routes(Arc::clone(&state), Arc::clone(&store))),
@@ -114,7 +122,7 @@
                 "data_centre": state.settings.data_centre,
             })
         });
-        Ok(Self { state, membership, callers, ready, directory, tasks })
+        Ok(Self { state, membership, callers, ready, directory, operators, tasks })
     }
 
     /// Returns the address for callers' requests.
@@ -132,6 +140,18 @@
         self.ready.address()
     }
 
+    /// Returns the address for operators.
+    pub fn operator_address(&self) -> SocketAddr {
+        self.operators.address()
+    }
+
+    /// Returns once an operator has asked this VM to leave.
+    pub async fn drain_asked(&self) {
+        let mut asked = self.state.leave_asked.subscribe();
+        // The sender lives as long as the VM.
+        let _ = asked.wait_for(|asked| *asked).await;
+    }
+
     /// Leaves: is no longer handed out, serves callers that still come, finishes what is in
     /// flight and stops before the process would be killed.
     pub async fn leave(self) {
--- a/crates/papayastack/src/forward/ingress.rs
+++ b/crates/papayastack/src/forward/ingress.rs
@@ -287,9 +287,15 @@
             (DecisionEvent::RequestFailed, status.as_u16(), detail.as_str())
         }
     };
+    let outcome = match event {
+        DecisionEvent::RequestServed => "served",
+        DecisionEvent::RequestPartial => "partial",
+        DecisionEvent::RequestRefused => "refused",
+        _ => "failed",
+    };
+    state.metrics.request_ended(&route.target, outcome, elapsed);
     state.log.write(event, || {
-        let routes_version =
-            state.routes.borrow().as_ref().map_or(0, |table| table.document().version);
+        let routes_version = state.routes_version();
         let mut fields = json!({
             "request": request.request_id.to_str().unwrap_or(""),
             "route": route.name,
--- a/crates/papayastack/src/forward/mod.rs
+++ b/crates/papayastack/src/forward/mod.rs
@@ -12,6 +12,7 @@
 //! | `ingress` | what callers send and get |
 //! | `feeds` | following the store |
 //! | `gateway` | one VM that forwards, wired together |
+//! | `metrics`, `operators` | what operators see |
 //! | `edge` | what the platform's side provides: names, formats, the store |
 
 mod attempt;
@@ -20,6 +21,8 @@
 mod feeds;
 mod gateway;
 mod ingress;
+mod metrics;
+mod operators;
 mod overload;
 mod plan;
 mod records;
@@ -31,6 +34,12 @@
 #[cfg(test)]
 mod tests;
 
+/// Returns the metrics of a VM that has forwarded nothing, for the check of their page.
+#[cfg(test)]
+pub(crate) fn empty_metrics() -> String {
+    metrics::ForwardMetrics::new().encode(&metrics::ForwardLevels::default())
+}
+
 pub use edge::{
     AddressCaller, Change, Changes, EntryFault, FeedStore, HeaderNames, IngressFormat, Listing,
     Named, StoreRevision,
--- a/crates/papayastack/src/forward/state.rs
+++ b/crates/papayastack/src/forward/state.rs
@@ -10,6 +10,7 @@
 use tokio::sync::watch;
 
 use super::edge::IngressFormat;
+use super::metrics::ForwardMetrics;
 use super::plan::replicas_of;
 use super::registry::UpstreamSet;
 use super::route::{Route, RouteTable, SplitPart};
@@ -35,6 +36,8 @@
     pub(crate) routes: watch::Sender<Option<Arc<RouteTable>>>,
     pub(crate) upstreams: watch::Sender<Option<Arc<UpstreamSet>>>,
     pub(crate) members: watch::Receiver<Arc<MemberView>>,
+    pub(crate) metrics: ForwardMetrics,
+    pub(crate) leave_asked: watch::Sender<bool>,
     pub(crate) leaving: AtomicBool,
     pub(crate) refuses: AtomicBool,
     pub(crate) log: Arc<DecisionLog>,
@@ -57,6 +60,8 @@
             routes: watch::Sender::new(None),
             upstreams: watch::Sender::new(None),
             members,
+            metrics: ForwardMetrics::new(),
+            leave_asked: watch::Sender::new(false),
             leaving: AtomicBool::new(false),
             refuses: AtomicBool::new(false),
             log,
@@ -76,6 +81,11 @@
             && self.upstreams.borrow().is_some()
     }
 
+    /// Returns the version of the routes in force; zero before the first.
+    pub(crate) fn routes_version(&self) -> u64 {
+        self.routes.borrow().as_ref().map_or(0, |table| table.document().version)
+    }
+
     /// Returns how many VMs share what the system as a whole may use.
     pub(crate) fn sharing_vms(&self) -> u32 {
         self.decisions().vms_known
--- a/crates/papayastack/src/forward/tests/mod.rs
+++ b/crates/papayastack/src/forward/tests/mod.rs
@@ -7,4 +7,5 @@
 mod records;
 mod registry;
 mod routes;
+mod settings;
 mod windows;
--- a/crates/papayastack/src/observe/decisions.rs
+++ b/crates/papayastack/src/observe/decisions.rs
@@ -59,6 +59,28 @@
 }
 
 impl DecisionEvent {
+    /// All kinds.
+    pub const ALL: [Self; 18] = [
+        Self::Started,
+        Self::Stopping,
+        Self::Stopped,
+        Self::Reloaded,
+        Self::RoutesInForce,
+        Self::RoutesIgnored,
+        Self::UpstreamUsable,
+        Self::UpstreamUnusable,
+        Self::UpstreamHeld,
+        Self::UpstreamIgnored,
+        Self::StoreLost,
+        Self::StoreRegained,
+        Self::MembersChanged,
+        Self::RequestServed,
+        Self::RequestPartial,
+        Self::RequestRefused,
+        Self::RequestFailed,
+        Self::AttemptFailed,
+    ];
+
     /// Returns the most lines of this kind in one second; failures and refusals get most room.
     fn lines_per_second_max(self) -> u32 {
         match self {
@@ -77,6 +99,7 @@
     lines: Option<SyncSender<String>>,
     rates: Mutex<BTreeMap<DecisionEvent, Rate>>,
     dropped: AtomicU64,
+    dropped_total: AtomicU64,
 }
 
 #[derive(Debug)]
@@ -126,15 +149,22 @@
         }
         if lines.try_send(format!("{line}\n")).is_err() {
             self.dropped.fetch_add(dropped + 1, Ordering::Relaxed);
+            self.dropped_total.fetch_add(1, Ordering::Relaxed);
         }
     }
 
+    /// Returns how many lines were skipped or dropped since the start.
+    pub fn dropped_total(&self) -> u64 {
+        self.dropped_total.load(Ordering::Relaxed)
+    }
+
     fn with(process: &str, lines: Option<SyncSender<String>>) -> Arc<Self> {
         Arc::new(Self {
             process: process.to_owned(),
             lines,
             rates: Mutex::new(BTreeMap::new()),
             dropped: AtomicU64::new(0),
+            dropped_total: AtomicU64::new(0),
         })
     }
 
@@ -150,6 +180,7 @@
         }
         if rate.lines >= event.lines_per_second_max() {
             rate.skipped += 1;
+            self.dropped_total.fetch_add(1, Ordering::Relaxed);
             return None;
         }
         rate.lines += 1;
--- a/crates/papayastack/src/observe/tests.rs
+++ b/crates/papayastack/src/observe/tests.rs
@@ -134,7 +134,7 @@
 fn each_metric_is_documented_and_no_other() {
     let page = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/METRICS.md");
     let page = std::fs::read_to_string(page).unwrap();
-    let metrics = Metrics::new().encode();
+    let metrics = Metrics::new().encode() + &crate::forward::empty_metrics();
 
     let types = metrics.lines().filter_map(|line| line.strip_prefix("# TYPE "));
     let registered: BTreeSet<&str> = types
@@ -149,3 +149,21 @@
 
     assert_eq!(documented, registered.into_iter().map(str::to_owned).collect());
 }
+
+#[test]
+fn each_decision_line_is_documented() {
+    let page = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/LOGS.md");
+    let page = std::fs::read_to_string(page).unwrap();
+    let rows: BTreeSet<&str> = page
+        .lines()
+        .filter_map(|line| line.strip_prefix("| `"))
+        .filter_map(|row| row.split('`').next())
+        .collect();
+
+    let events: Vec<String> = DecisionEvent::ALL
+        .iter()
+        .map(|event| serde_json::to_value(event).unwrap().as_str().unwrap().to_owned())
+        .collect();
+
+    assert_eq!(rows, events.iter().map(String::as_str).collect());
+}
