--- a/crates/papayastack/src/forward/feeds.rs
+++ b/crates/papayastack/src/forward/feeds.rs
@@ -149,6 +149,10 @@
                 state.pool.forget(target.address);
             }
         }
+        for (index, target) in &set.by_index {
+            let is_far = target.data_centre != state.settings.data_centre;
+            state.decisions().set_far(*index, is_far);
+        }
         state.upstreams.send_replace(Some(Arc::new(set)));
     }
     for note in notes {
--- a/crates/papayastack/src/forward/metrics.rs
+++ b/crates/papayastack/src/forward/metrics.rs
@@ -13,7 +13,7 @@
 use prometheus_client::registry::{Registry, Unit};
 
 use super::route::RouteTarget;
-use crate::observe::{attempt_name, platform_result_name};
+use crate::observe::{ANSWERED, attempt_name, platform_result_name};
 use crate::platform::PlatformError;
 use crate::query::{AttemptOutcome, FanoutCounts};
 
@@ -67,6 +67,7 @@
             log_lines_dropped: Counter::default(),
         };
         metrics.register();
+        metrics.start_at_zero();
         metrics
     }
 
@@ -119,6 +120,22 @@
         self.store_calls.get_or_create(&labels).inc();
     }
 
+    /// Creates a series of each family, so that rates see their first event.
+    fn start_at_zero(&self) {
+        for target in ["service", "split", "shards"] {
+            let labels = RequestLabels { target, outcome: "served" };
+            drop(self.request_duration.get_or_create(&labels));
+        }
+        drop(self.attempts.get_or_create(&OutcomeLabels { outcome: ANSWERED }));
+        for kind in ["hedge", "retry"] {
+            drop(self.repeats.get_or_create(&KindLabels { kind }));
+        }
+        let result = platform_result_name(None);
+        for call in ["upstreams", "routes", "vms"] {
+            drop(self.store_calls.get_or_create(&CallLabels { call, result }));
+        }
+    }
+
     fn register(&mut self) {
         let registry = &mut self.registry;
         registry.register_with_unit(
--- a/crates/papayastack/src/forward/state.rs
+++ b/crates/papayastack/src/forward/state.rs
@@ -154,6 +154,11 @@
         self.observations.load_told(upstream, load, now);
     }
 
+    /// Takes where an upstream runs.
+    pub(crate) fn set_far(&mut self, upstream: UpstreamIndex, is_far: bool) {
+        self.observations.set_far(upstream, is_far);
+    }
+
     /// Forgets what was observed of an upstream that is no longer used.
     pub(crate) fn forget_upstream(&mut self, upstream: UpstreamIndex) {
         self.observations.forget(upstream);
--- a/crates/papayastack/src/observe/mod.rs
+++ b/crates/papayastack/src/observe/mod.rs
@@ -10,8 +10,8 @@
 mod trace;
 
 pub use decisions::{DecisionEvent, DecisionLog};
+pub(crate) use labels::{ANSWERED, attempt_name, platform_result_name};
 pub use labels::{PlatformCall, QueryOutcome, SubmissionOutcome};
-pub(crate) use labels::{attempt_name, platform_result_name};
 pub use logs::{LogError, LogFormat, LogSettings, open_logs};
 pub use metrics::{DispatchLevels, Metrics, RequestGuard};
 pub use span::{ActiveSpan, Hop, SPAN_TARGET, SpanIds, SpanRecord, Tracer};
--- a/crates/papayastack/src/query/health.rs
+++ b/crates/papayastack/src/query/health.rs
@@ -8,6 +8,9 @@
 use super::attempt::{AttemptOutcome, FailureReason, NotRunReason};
 use crate::routing::UpstreamIndex;
 
+/// How many times its load an upstream in another data centre seems to have: bytes between data
+/// centres cost, so a near one is taken unless it is the busier one.
+const FAR_FACTOR: f64 = 1.4;
 /// The weight of a new latency sample, as one part in this many.
 const LATENCY_WINDOW: u32 = 8;
 /// Consecutive failures after which an upstream is ejected.
@@ -66,6 +69,8 @@
     leaving_until: Option<Instant>,
     queue_hint: u32,
     queue_hint_until: Option<Instant>,
+    /// Whether it runs in another data centre than this VM.
+    is_far: bool,
     /// The share of recent attempts that were shed or failed, as of `trouble_at`.
     trouble: f64,
     trouble_at: Option<Instant>,
@@ -182,6 +187,11 @@
         record.queue_hint_until = Some(now + QUEUE_HINT_HOLD);
     }
 
+    /// Records whether an upstream runs in another data centre than this VM.
+    pub fn set_far(&mut self, upstream: UpstreamIndex, is_far: bool) {
+        self.record(upstream).is_far = is_far;
+    }
+
     /// Forgets an upstream, whose number may come to stand for another one.
     pub fn forget(&mut self, upstream: UpstreamIndex) {
         *self.record(upstream) = Record::new();
@@ -241,6 +251,7 @@
             leaving_until: None,
             queue_hint: 0,
             queue_hint_until: None,
+            is_far: false,
             trouble: 0.0,
             trouble_at: None,
             stall_after: Duration::ZERO,
@@ -272,7 +283,8 @@
         let hint = if in_future(self.queue_hint_until, now) { self.queue_hint } else { 0 };
         let cold = if self.answers < WARM_ANSWERS && self.in_flight > 0 { COLD_FACTOR } else { 1 };
         let in_system = f64::from(self.in_flight) + f64::from(hint);
-        let load = (self.latency_us.max(1) * cold) as f64 * (in_system + 1.0);
+        let distance = if self.is_far { FAR_FACTOR } else { 1.0 };
+        let load = (self.latency_us.max(1) * cold) as f64 * (in_system + 1.0) * distance;
         let trouble = self.trouble(now).min(TROUBLE_MAX);
         let failures_per_answer = trouble / (1.0 - trouble);
         let repeat_cost = REPEAT_COST_MIN + REPEAT_COST_SCARCE * scarcity * scarcity;
--- a/crates/papayastack/src/upstream/pool.rs
+++ b/crates/papayastack/src/upstream/pool.rs
@@ -114,11 +114,11 @@
                 Err(mut error) => match error.take_message() {
                     Some(unsent) if kept => request = unsent,
                     Some(_) => {
-                        let detail = error.into_error().to_string();
+                        let detail = described(&error.into_error());
                         return Err(ExchangeError::NotConnected { detail });
                     }
                     None => {
-                        let detail = error.into_error().to_string();
+                        let detail = described(&error.into_error());
                         return Err(ExchangeError::AnswerLost { detail });
                     }
                 },
@@ -237,6 +237,14 @@
     socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_MAX))
 }
 
+/// Describes an error with its cause, which says whether the connection was reset or closed.
+fn described(error: &hyper::Error) -> String {
+    match std::error::Error::source(error) {
+        Some(cause) => format!("{error}: {cause}"),
+        None => error.to_string(),
+    }
+}
+
 /// Returns how long a connection may be kept idle by the word of the upstream.
 fn idle_time(head: &HeaderMap) -> Duration {
     let named = head
