--- /dev/null
+++ b/crates/papayastack-daemon/tests/gateway/support.rs
@@ -0,0 +1,199 @@
+//! The process, its store and its upstream.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Stdio;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use papayastack::{IngressFormat, ObjectName};
+use papayastack_platform::PlatformIngress;
+use papayastack_standin::PlatformStandin;
+use serde_json::{Value, json};
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader, Lines};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::process::{Child, ChildStdout, Command};
+
+const CONFIGURATION: &str = include_str!("../../../../platform/tests/fixtures/configuration.json");
+const BACKEND: &str = include_str!("../../../../platform/tests/fixtures/backend.json");
+
+/// Starts a store with the configuration, and with the upstream where there is one.
+pub(crate) async fn start_store(upstream: Option<&Upstream>) -> PlatformStandin {
+    let store = PlatformStandin::bind(any_port()).await.expect("a port is free");
+    let parsed = |text: &str| -> Value { serde_json::from_str(text).expect("fixtures are JSON") };
+    store.put_object(&ObjectName::new("config", "main"), parsed(CONFIGURATION));
+    if let Some(upstream) = upstream {
+        let entry = BACKEND.replace("ADDRESS", &upstream.address.to_string());
+        store.put_object(&ObjectName::new("servers", "i-1"), parsed(&entry));
+    }
+    store
+}
+
+fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// An upstream that answers each request after some work.
+pub(crate) struct Upstream {
+    pub(crate) address: SocketAddr,
+    working: Arc<AtomicUsize>,
+}
+
+impl Upstream {
+    pub(crate) async fn bind(work: Duration) -> Self {
+        let listener = TcpListener::bind(any_port()).await.expect("a port is free");
+        let address = listener.local_addr().expect("a listener has an address");
+        let working = Arc::new(AtomicUsize::new(0));
+        let counted = Arc::clone(&working);
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(answer_all(stream, work, Arc::clone(&counted)));
+            }
+        });
+        Self { address, working }
+    }
+
+    /// Returns once a request is being worked on.
+    pub(crate) async fn until_working(&self) {
+        while self.working.load(Ordering::Acquire) == 0 {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    }
+}
+
+async fn answer_all(mut stream: TcpStream, work: Duration, working: Arc<AtomicUsize>) {
+    let names = PlatformIngress::new();
+    let names = names.headers();
+    while let Some(head) = read_head(&mut stream).await {
+        let id_name = format!("{}: ", names.request_id);
+        let id = head.lines().find_map(|line| line.strip_prefix(&id_name)).unwrap_or("");
+        working.fetch_add(1, Ordering::AcqRel);
+        tokio::time::sleep(work).await;
+        working.fetch_sub(1, Ordering::AcqRel);
+        let reply = format!(
+            "HTTP/1.1 200 OK\r\n{}: {id}\r\n{}: seal\r\ncontent-length: 6\r\n\r\nanswer",
+            names.request_id, names.seal
+        );
+        if stream.write_all(reply.as_bytes()).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn read_head(stream: &mut TcpStream) -> Option<String> {
+    let mut bytes = Vec::new();
+    while !bytes.ends_with(b"\r\n\r\n") {
+        bytes.push(stream.read_u8().await.ok()?);
+    }
+    String::from_utf8(bytes).ok()
+}
+
+/// Sends one request; returns status and body, or nothing where it was cut.
+pub(crate) async fn get(address: SocketAddr) -> Option<String> {
+    let names = PlatformIngress::new();
+    let mut stream = TcpStream::connect(address).await.ok()?;
+    let text = format!(
+        "GET /read/x HTTP/1.1\r\nhost: a.example\r\n{}: the-id\r\nconnection: close\r\n\r\n",
+        names.headers().request_id
+    );
+    stream.write_all(text.as_bytes()).await.ok()?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.ok()?;
+    let (head, body) = answer.split_once("\r\n\r\n")?;
+    Some(format!("{} {body}", head.split(' ').nth(1)?))
+}
+
+/// A running `papayad gateway`; dropped, it is killed.
+pub(crate) struct GatewayProcess {
+    child: Child,
+    lines: Lines<BufReader<ChildStdout>>,
+    pub(crate) caller_address: SocketAddr,
+}
+
+impl GatewayProcess {
+    /// Starts a process with ports of its own and waits until it says that it has started.
+    pub(crate) async fn start(store: SocketAddr) -> Self {
+        let mut child = command(&settings_file("sound", &settings(store)))
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("papayad runs");
+        let output = child.stdout.take().expect("the output is piped");
+        let mut lines = BufReader::new(output).lines();
+        let started = next_line_of(&mut lines, "started").await;
+        let caller_address = started["caller_address"]
+            .as_str()
+            .and_then(|text| text.parse().ok())
+            .expect("the line names the address");
+        Self { child, lines, caller_address }
+    }
+
+    /// Returns once a request is served.
+    pub(crate) async fn until_served(&self) {
+        while get(self.caller_address).await.as_deref() != Some("200 answer") {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    pub(crate) fn terminate(&self) {
+        let id = self.child.id().expect("the process runs").to_string();
+        let sent = std::process::Command::new("kill").args(["-TERM", &id]).status();
+        assert!(sent.expect("kill runs").success());
+    }
+
+    pub(crate) fn kill(&mut self) {
+        self.child.start_kill().expect("the process runs");
+    }
+
+    pub(crate) async fn exit_code(&mut self) -> Option<i32> {
+        self.child.wait().await.expect("the process ends").code()
+    }
+
+    /// Returns the next decision line of a kind.
+    pub(crate) async fn line_of(&mut self, event: &str) -> Value {
+        next_line_of(&mut self.lines, event).await
+    }
+}
+
+async fn next_line_of(lines: &mut Lines<BufReader<ChildStdout>>, event: &str) -> Value {
+    loop {
+        let line = lines.next_line().await.expect("the output can be read");
+        let line = line.expect("the line comes before the output ends");
+        let line: Value = serde_json::from_str(&line).expect("lines are JSON");
+        if line["event"] == event {
+            return line;
+        }
+    }
+}
+
+/// Runs a process with a text as settings to its end; returns its exit code and its errors.
+pub(crate) async fn run_with_settings(name: &str, text: &str) -> (Option<i32>, String) {
+    let output = command(&settings_file(name, text)).output().await.expect("papayad runs");
+    (output.status.code(), String::from_utf8_lossy(&output.stderr).into_owned())
+}
+
+fn command(settings: &PathBuf) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_papayad"));
+    command.arg("gateway").arg("--settings").arg(settings).kill_on_drop(true);
+    command
+}
+
+fn settings(store: SocketAddr) -> String {
+    let any = any_port();
+    json!({
+        "vm": "vm-1", "data_centre": "a", "data_centres": { "a": "region" },
+        "caller_address": any, "ready_address": any, "directory_address": any,
+        "link_address": any, "operator_address": any, "store_address": store,
+        "system_keys": ["a key of the tests"], "address_lifetime_max_s": 1, "stop_grace_s": 4,
+        "repeats": { "window_s": 10, "per_request": 0.2, "extra": 56 },
+    })
+    .to_string()
+}
+
+fn settings_file(name: &str, text: &str) -> PathBuf {
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{number}.json"));
+    std::fs::write(&path, text).expect("a file can be written");
+    path
+}
