Take a refusal for a promise only if it names the request

Cause: a late answer to an earlier request on a kept connection may come without an id; taken for the current request, a refusal would promise that it did not run, and an unsafe one would be sent again.

--- a/crates/papayastack/src/forward/attempt.rs
+++ b/crates/papayastack/src/forward/attempt.rs
@@ -94,9 +94,8 @@
     };
     let (head, body) = response.into_parts();
     if head.headers.get(&names.request_id).is_some_and(|id| *id != request.request_id) {
-        // The reply to an earlier request on this connection: it must not be used again.
-        let failed = AttemptOutcome::Failed(FailureReason::Malformed);
-        return AttemptEnd::new(failed, "the reply is another request's");
+        // The reply to an earlier request on this connection, which is closed with its lease.
+        return malformed("the reply is another request's");
     }
     let body = match Limited::new(body, REPLY_BODY_MAX_BYTES).collect().await {
         Ok(body) => body.to_bytes(),
@@ -114,6 +113,10 @@
 /// Tells what a whole reply proves.
 fn judged(names: &HeaderNames, reply: UpstreamReply) -> AttemptEnd {
     let status = reply.status;
+    if !reply.headers.contains_key(&names.request_id) {
+        // It may be a late answer to an earlier request on the connection: it proves nothing.
+        return malformed(format!("status {} without a request id", status.as_u16()));
+    }
     if status == StatusCode::MISDIRECTED_REQUEST {
         let reused = AttemptOutcome::NotRun(NotRunReason::AddressReused);
         return AttemptEnd::new(reused, "another upstream has the address");
@@ -123,12 +126,8 @@
         return AttemptEnd::new(shed, format!("status {}, not run", status.as_u16()));
     }
     let sealed = reply.headers.contains_key(&names.seal);
-    let answers_this_request = reply.headers.contains_key(&names.request_id);
-    if !sealed || !answers_this_request || reply.headers.contains_key(header::CONTENT_ENCODING) {
-        let malformed = AttemptOutcome::Failed(FailureReason::Malformed);
-        let detail =
-            format!("status {}, seal {sealed}, request id {answers_this_request}", status.as_u16());
-        return AttemptEnd::new(malformed, detail);
+    if !sealed || reply.headers.contains_key(header::CONTENT_ENCODING) {
+        return malformed(format!("status {}, seal {sealed}", status.as_u16()));
     }
     if status.is_server_error() {
         let failed = AttemptOutcome::Failed(FailureReason::UpstreamFailed);
@@ -138,6 +137,10 @@
     AttemptEnd::new(AttemptOutcome::Answered(reply), "")
 }
 
+fn malformed(detail: impl Into<String>) -> AttemptEnd {
+    AttemptEnd::new(AttemptOutcome::Failed(FailureReason::Malformed), detail)
+}
+
 fn not_replied(error: ExchangeError) -> AttemptEnd {
     match error {
         ExchangeError::NotConnected { detail } => {
--- a/crates/papayastack/src/forward/reply.rs
+++ b/crates/papayastack/src/forward/reply.rs
@@ -11,7 +11,7 @@
 use super::edge::HeaderNames;
 use super::exchange::ExchangeEnd;
 use super::records::merge_records;
-use super::route::{RequestKind, Route, RouteTarget};
+use super::route::{Route, RouteTarget};
 
 /// What a request came to, for the caller and for the decision line.
 #[derive(Debug)]
@@ -68,7 +68,7 @@
         };
     }
     let nothing_ran = end.unresolved == 0 && parts.is_empty();
-    if nothing_ran && !(deadline_passed && route.kind == RequestKind::Unsafe) {
+    if nothing_ran {
         return Verdict::NotRun { retry_after: RETRY_AFTER, detail };
     }
     let status =
--- a/crates/papayastack/src/query/gather.rs
+++ b/crates/papayastack/src/query/gather.rs
@@ -45,7 +45,7 @@
 }
 
 impl<P> Gather<P> {
-    /// Starts a query: one attempt for each shard.
+    /// Starts a request: one attempt for each shard.
     pub fn start<R: Rng>(
         spec: GatherSpec,
         context: &mut FanoutContext<'_, R>,
@@ -88,7 +88,7 @@
         };
         if matches!(self.progress[shard].state, ShardState::Open) {
             match outcome {
-                AttemptOutcome::Answered(partial) => self.answered(shard, partial, &mut commands),
+                AttemptOutcome::Answered(part) => self.answered(shard, part, &mut commands),
                 problem => self.problem(shard, &problem, context, &mut commands),
             }
             self.finish_if_enough(context.now, &mut commands);
