--- a/crates/papayastack/src/forward/tests/gathering.rs
+++ b/crates/papayastack/src/forward/tests/gathering.rs
@@ -200,6 +200,10 @@
     rig.observations.sent(0, rig.now, stall_after);
     rig.now += Duration::from_millis(31);
     let now = rig.now;
+    // The others have more work, so that the silent one looks best but for its silence.
+    for upstream in [1, 2, 1, 2, 1, 2] {
+        rig.observations.sent(upstream, now, stall_after);
+    }
 
     let chosen: Vec<usize> = (0..20)
         .filter_map(|_| rig.observations.choose(&[0, 1, 2], &[], 0.0, now, &mut rig.random))
