Copy the upstreams only when they changed; say an outcome and its event in one place

Cause: read once more as a whole. The registry's set was built on each look, changed or not, and its publishing locked the decisions once an upstream; a told load repeated the body of a queue hint; an outcome's name was matched from its event a second time, with a catch-all. Behaviour is unchanged; no test was touched.

--- a/crates/papayastack/src/forward/feeds.rs
+++ b/crates/papayastack/src/forward/feeds.rs
@@ -139,20 +139,20 @@
 }
 
 fn publish_upstreams(state: &ForwardState, registry: &Registry, notes: Vec<RegistryNote>) {
-    let set = registry.set();
-    let changed = state.upstreams.borrow().as_ref().is_none_or(|old| old.version != set.version);
-    if changed {
-        let old = state.upstreams.borrow().clone();
+    let old = state.upstreams.borrow().clone();
+    if old.as_ref().is_none_or(|old| old.version != registry.version()) {
+        let set = registry.set();
+        let mut decisions = state.decisions();
         for (index, target) in old.iter().flat_map(|old| &old.by_index) {
             if !set.by_index.contains_key(index) {
-                state.decisions().forget_upstream(*index);
+                decisions.forget_upstream(*index);
                 state.pool.forget(target.address);
             }
         }
         for (index, target) in &set.by_index {
-            let is_far = target.data_centre != state.settings.data_centre;
-            state.decisions().set_far(*index, is_far);
+            decisions.set_far(*index, target.data_centre != state.settings.data_centre);
         }
+        drop(decisions);
         state.upstreams.send_replace(Some(Arc::new(set)));
     }
     for note in notes {
--- a/crates/papayastack/src/forward/ingress.rs
+++ b/crates/papayastack/src/forward/ingress.rs
@@ -275,24 +275,20 @@
     verdict: &Verdict,
     elapsed: Duration,
 ) {
-    let (event, status, detail) = match verdict {
+    let (event, outcome, status, detail) = match verdict {
         Verdict::Answer(UpstreamReply { status, .. }) => {
-            (DecisionEvent::RequestServed, status.as_u16(), "")
+            (DecisionEvent::RequestServed, "served", status.as_u16(), "")
+        }
+        Verdict::Merged { missing: 0, .. } => (DecisionEvent::RequestServed, "served", 200, ""),
+        Verdict::Merged { .. } => (DecisionEvent::RequestPartial, "partial", 200, ""),
+        Verdict::NotRun { detail, .. } => {
+            (DecisionEvent::RequestRefused, "refused", 503, detail.as_str())
         }
-        Verdict::Merged { missing: 0, .. } => (DecisionEvent::RequestServed, 200, ""),
-        Verdict::Merged { .. } => (DecisionEvent::RequestPartial, 200, ""),
-        Verdict::NotRun { detail, .. } => (DecisionEvent::RequestRefused, 503, detail.as_str()),
         Verdict::Failed { status, reply, detail } => {
             let status = reply.as_ref().map_or(*status, |reply| reply.status);
-            (DecisionEvent::RequestFailed, status.as_u16(), detail.as_str())
+            (DecisionEvent::RequestFailed, "failed", status.as_u16(), detail.as_str())
         }
     };
-    let outcome = match event {
-        DecisionEvent::RequestServed => "served",
-        DecisionEvent::RequestPartial => "partial",
-        DecisionEvent::RequestRefused => "refused",
-        _ => "failed",
-    };
     state.metrics.request_ended(&route.target, outcome, elapsed);
     state.log.write(event, || {
         let routes_version = state.routes_version();
--- a/crates/papayastack/src/forward/registry.rs
+++ b/crates/papayastack/src/forward/registry.rs
@@ -185,6 +185,11 @@
         self.known.values().filter_map(|known| known.missing_until).min()
     }
 
+    /// Returns the version of the set of usable upstreams.
+    pub(crate) fn version(&self) -> u64 {
+        self.version
+    }
+
     /// Returns the usable upstreams.
     pub(crate) fn set(&self) -> UpstreamSet {
         let mut set = UpstreamSet { version: self.version, ..UpstreamSet::default() };
--- a/crates/papayastack/src/query/health.rs
+++ b/crates/papayastack/src/query/health.rs
@@ -181,10 +181,8 @@
 
     /// Records the load that an upstream told; it counts for a short while.
     pub fn load_told(&mut self, upstream: UpstreamIndex, load: UpstreamLoad, now: Instant) {
-        let record = self.record(upstream);
-        let others = (load.running + load.waiting).saturating_sub(record.in_flight);
-        record.queue_hint = others;
-        record.queue_hint_until = Some(now + QUEUE_HINT_HOLD);
+        let own = self.record(upstream).in_flight;
+        self.queue_hint(upstream, (load.running + load.waiting).saturating_sub(own), now);
     }
 
     /// Records whether an upstream runs in another data centre than this VM.
