Let a request go on whose route was dropped under it

Cause: a later version of the routes forgets the latencies of routes that it lacks; the next reply to a request of such a route indexed an empty list, and the panic closed the caller's connection. Test: gathering::a_request_goes_on_when_its_route_is_dropped_under_it failed first ("index out of bounds"); passes.

--- a/crates/papayastack/src/forward/tests/gathering.rs
+++ b/crates/papayastack/src/forward/tests/gathering.rs
@@ -211,3 +211,19 @@
 
     assert!(!chosen.contains(&0));
 }
+
+#[test]
+fn a_request_goes_on_when_its_route_is_dropped_under_it() {
+    let mut rig = Rig::new();
+    let rules = rules();
+    let (mut gather, _) = rig.start(spec(&rig, 2, rules));
+
+    // A later version of the routes lacks the route, and what was learnt of it is forgotten.
+    rig.latencies.clear();
+    rig.reply(&mut gather, 0, AttemptOutcome::Answered("part"));
+    rig.latencies.clear();
+    rig.pass(&mut gather, Duration::from_millis(500));
+    rig.reply(&mut gather, 1, AttemptOutcome::Answered("part"));
+
+    assert!(gather.is_finished());
+}
--- a/crates/papayastack/src/query/gather.rs
+++ b/crates/papayastack/src/query/gather.rs
@@ -51,7 +51,7 @@
         context: &mut FanoutContext<'_, R>,
     ) -> (Self, Vec<Command>) {
         let shards = spec.shards.len();
-        context.latencies.resize_with(shards.max(context.latencies.len()), QuantileTracker::new);
+        fit_latencies(context, shards);
         context.budgets.earn(shards as u64, &spec.routing);
         for service in spec.rules.services.iter().flat_map(|services| services.iter()) {
             context.budgets.windows.request(service, context.now);
@@ -82,6 +82,7 @@
         context: &mut FanoutContext<'_, R>,
     ) -> Vec<Command> {
         let mut commands = Vec::new();
+        fit_latencies(context, self.progress.len());
         let Some((shard, outcome)) = self.settle(attempt, outcome, context) else {
             self.counts.dropped += 1;
             return commands;
@@ -100,6 +101,7 @@
     /// Hedges and retries whose time has come; gives up what the deadline leaves open.
     pub fn on_tick<R: Rng>(&mut self, context: &mut FanoutContext<'_, R>) -> Vec<Command> {
         let mut commands = Vec::new();
+        fit_latencies(context, self.progress.len());
         if context.now >= self.spec.deadline {
             self.give_up_open_shards(&mut commands);
             return commands;
@@ -554,6 +556,14 @@
     }
 }
 
+/// Makes room for all shards: what was learnt of a route is forgotten with it, also while requests
+/// of the route are in flight.
+fn fit_latencies<R: Rng>(context: &mut FanoutContext<'_, R>, shards: usize) {
+    if context.latencies.len() < shards {
+        context.latencies.resize_with(shards, QuantileTracker::new);
+    }
+}
+
 /// Returns a latency relative to the mean of its kind of request, in the unit of all kinds, so
 /// that an upstream is not thought slow for getting the longer requests.
 fn scaled_latency(latency: Duration, kind: &QuantileTracker) -> Duration {
