Take near upstreams until their queue is longer

Cause: a factor of 1.4 on the work ahead sent a third of the attempts to other data centres while near upstreams were idle; those bytes are charged, and on the grown sites each VM kept too many connections that went cold. Test: gathering::a_near_upstream_is_taken_until_it_is_the_much_busier_one.

--- a/crates/papayastack/src/forward/tests/gathering.rs
+++ b/crates/papayastack/src/forward/tests/gathering.rs
@@ -258,3 +258,29 @@
 
     assert_eq!(commands, [Command::Finished]);
 }
+
+/// Returns how many of 100 choices fall on the near upstream, with attempts in flight there.
+fn near_choices(in_flight_near: u32) -> usize {
+    let mut rig = Rig::new();
+    rig.observations.set_far(1, true);
+    for _ in 0..in_flight_near {
+        rig.observations.sent(0, rig.now, Duration::from_secs(1));
+    }
+    // Both have answered at the mean latency.
+    for upstream in [0, 1] {
+        for _ in 0..40 {
+            rig.observations.sent(upstream, rig.now, Duration::from_secs(1));
+            let answer = AttemptOutcome::Answered("part");
+            let (mean, ejection) = (Duration::from_millis(10), Duration::from_secs(1));
+            rig.observations.finished(upstream, &answer, mean, ejection, rig.now);
+        }
+    }
+    let mut choose = || rig.observations.choose(&[0, 1], &[], 0.0, rig.now, &mut rig.random);
+    (0..100).filter(|_| choose() == Some(0)).count()
+}
+
+#[test]
+fn a_near_upstream_is_taken_until_it_is_the_much_busier_one() {
+    assert_eq!(near_choices(0), 100);
+    assert!(near_choices(8) < 10);
+}
--- a/crates/papayastack/src/query/health.rs
+++ b/crates/papayastack/src/query/health.rs
@@ -8,9 +8,9 @@
 use super::attempt::{AttemptOutcome, FailureReason, NotRunReason};
 use crate::routing::UpstreamIndex;
 
-/// How many times its load an upstream in another data centre seems to have: bytes between data
-/// centres cost, so a near one is taken unless it is the busier one.
-const FAR_FACTOR: f64 = 1.4;
+/// What an upstream in another data centre costs more, in mean latencies: bytes between data centres
+/// are charged, so a near one is taken until its queue is about that much longer.
+const FAR_COST: f64 = 2.0;
 /// The weight of a new latency sample, as one part in this many.
 const LATENCY_WINDOW: u32 = 8;
 /// Consecutive failures after which an upstream is ejected.
@@ -293,12 +293,13 @@
         let hint = if in_future(self.queue_hint_until, now) { self.queue_hint } else { 0 };
         let cold = if self.answers < WARM_ANSWERS && self.in_flight > 0 { COLD_FACTOR } else { 1 };
         let in_system = f64::from(self.in_flight) + f64::from(hint);
-        let distance = if self.is_far { FAR_FACTOR } else { 1.0 };
-        let load = (self.latency_us.max(1) * cold) as f64 * (in_system + 1.0) * distance;
+        let load = (self.latency_us.max(1) * cold) as f64 * (in_system + 1.0);
+        let unit_us = to_us(LATENCY_UNIT) as f64;
+        let distance = if self.is_far { FAR_COST } else { 0.0 };
         let trouble = self.trouble(now).min(TROUBLE_MAX);
         let failures_per_answer = trouble / (1.0 - trouble);
         let repeat_cost = REPEAT_COST_MIN + REPEAT_COST_SCARCE * scarcity * scarcity;
-        (load + failures_per_answer * repeat_cost * to_us(LATENCY_UNIT) as f64) as u64
+        (load + (distance + failures_per_answer * repeat_cost) * unit_us) as u64
     }
 
     fn answered(&mut self, latency: Duration) {
