Make fewer calls to the store

Change: the first list may lag, since the watch from its revision brings the rest; changes gather for 1.2 s, well within the 3 s that a leaving upstream is served; one feed asks a lost store for all. A refusal by rate is heeded. Tests: store_gate::one_feed_asks_a_lost_store_for_all, the_others_go_on_as_soon_as_a_call_is_answered.

--- a/crates/papayastack/src/forward/edge.rs
+++ b/crates/papayastack/src/forward/edge.rs
@@ -5,7 +5,7 @@
 use async_trait::async_trait;
 use axum::http::{HeaderName, Uri};
 use bytes::Bytes;
-use papayastack_macros::value;
+use papayastack_macros::{closed_set, value};
 
 use super::registry::UpstreamEntry;
 use super::route::RouteDocument;
@@ -68,7 +68,10 @@
 #[async_trait]
 pub trait FeedStore: Send + Sync + 'static {
     /// Lists the upstreams.
-    async fn list_upstreams(&self) -> Result<Listing<UpstreamEntry>, PlatformError>;
+    async fn list_upstreams(
+        &self,
+        freshness: Freshness,
+    ) -> Result<Listing<UpstreamEntry>, PlatformError>;
 
     /// Waits up to `wait` for changes of upstreams after a revision.
     async fn watch_upstreams(
@@ -94,6 +97,15 @@
     async fn list_vms(&self) -> Result<Vec<ListedVm>, PlatformError>;
 }
 
+/// How current a list must be.
+#[closed_set]
+pub enum Freshness {
+    /// It holds everything that was acknowledged before the call.
+    Current,
+    /// It may be seconds behind its time, at the revision that it names, and costs less.
+    MayLag,
+}
+
 /// All entries of a kind at one revision.
 #[value]
 pub struct Listing<T> {
--- a/crates/papayastack/src/forward/feeds.rs
+++ b/crates/papayastack/src/forward/feeds.rs
@@ -6,9 +6,9 @@
 
 use rand::Rng;
 use serde_json::json;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
-use super::edge::{Change, FeedStore, Named};
+use super::edge::{Change, FeedStore, Freshness, Named};
 use super::registry::{Registry, RegistryNote};
 use super::route::{RouteDocument, RouteTable};
 use super::state::ForwardState;
@@ -21,13 +21,18 @@
 const WATCH_WAIT: Duration = Duration::from_secs(25);
 /// The pause between two watches of upstreams, in which changes gather: calls are charged, and a
 /// leaving upstream serves for seconds after its word.
-const UPSTREAMS_GAP: Duration = Duration::from_millis(700);
+const UPSTREAMS_GAP: Duration = Duration::from_millis(1_200);
+/// That pause while requests find a service without upstreams, as after an outage in which all entries
+/// lapsed.
+const UPSTREAMS_GAP_WANTED: Duration = Duration::from_millis(200);
 /// The pause between two watches of the routes.
 const ROUTES_GAP: Duration = Duration::from_millis(100);
 /// The first pause after a failed call.
 const BACKOFF_INITIAL: Duration = Duration::from_millis(100);
 /// The longest pause after failed calls: what changed in an outage is known soon after it.
 const BACKOFF_MAX: Duration = Duration::from_millis(1_200);
+/// The longest pause while this VM cannot serve for want of the store.
+const BACKOFF_NOT_READY_MAX: Duration = Duration::from_millis(300);
 /// How long another VM's newer routes may be ahead before they are read from the store: the own
 /// watch brings them within that time, unless it is deaf.
 const BEHIND_PEERS_MAX: Duration = Duration::from_millis(600);
@@ -46,10 +51,18 @@
         Self { failures: 0 }
     }
 
-    fn pause(&mut self) -> Duration {
+    /// Returns the pause after a failed call; the store's own word goes first.
+    fn pause(&mut self, error: &PlatformError, is_ready: bool) -> Duration {
         let doubled = BACKOFF_INITIAL * 2_u32.saturating_pow(self.failures.min(8));
         self.failures += 1;
-        doubled.min(BACKOFF_MAX).mul_f64(rand::rng().random_range(0.7..1.0))
+        let longest = if is_ready { BACKOFF_MAX } else { BACKOFF_NOT_READY_MAX };
+        let pause = doubled.min(longest).mul_f64(rand::rng().random_range(0.7..1.0));
+        match error {
+            PlatformError::RateLimited { retry_after } => {
+                pause.max(retry_after.mul_f64(rand::rng().random_range(1.0..1.5)))
+            }
+            _ => pause,
+        }
     }
 
     fn reset(&mut self) {
@@ -82,6 +95,7 @@
 
     fn answered(&mut self) {
         self.state.metrics.store_call(self.feed, None);
+        self.state.store_gate.call_answered();
         if let Some(lost_at) = self.lost_at.take() {
             self.state.log.write(
                 DecisionEvent::StoreRegained,
@@ -96,24 +110,30 @@
     let mut registry = Registry::default();
     let mut backoff = Backoff::new();
     let mut standing = StoreStanding::new(&state, "upstreams");
+    // The first watch brings what a cheap first list lacks; after a forgotten history nothing would.
+    let mut freshness = Freshness::MayLag;
     loop {
-        let mut revision = match store.list_upstreams().await {
+        let mut revision = match store.list_upstreams(freshness).await {
             Ok(listing) => {
                 backoff.reset();
                 standing.answered();
                 let notes = registry.on_list(listing.entries, Instant::now());
                 publish_upstreams(&state, &registry, notes);
+                freshness = Freshness::Current;
                 listing.revision
             }
             Err(error) => {
                 standing.failed(&error);
                 registry.store_failed(Instant::now());
-                sleep(backoff.pause()).await;
+                state.store_gate.wait(backoff.pause(&error, state.is_ready())).await;
                 continue;
             }
         };
         loop {
-            sleep(UPSTREAMS_GAP).await;
+            let wanted = state.upstreams_wanted.notified();
+            sleep(UPSTREAMS_GAP_WANTED).await;
+            // Ends early if a request needs what the next watch may bring.
+            let _ = timeout(UPSTREAMS_GAP - UPSTREAMS_GAP_WANTED, wanted).await;
             let notes = registry.on_tick(Instant::now());
             publish_upstreams(&state, &registry, notes);
             let wait = registry.next_wake().map_or(WATCH_WAIT, |wake| {
@@ -131,7 +151,7 @@
                 Err(error) => {
                     standing.failed(&error);
                     registry.store_failed(Instant::now());
-                    sleep(backoff.pause()).await;
+                    state.store_gate.wait(backoff.pause(&error, state.is_ready())).await;
                 }
             }
         }
@@ -193,7 +213,7 @@
             }
             Err(error) => {
                 standing.failed(&error);
-                sleep(backoff.pause()).await;
+                state.store_gate.wait(backoff.pause(&error, state.is_ready())).await;
                 continue;
             }
         };
@@ -221,7 +241,7 @@
                 Err(PlatformError::HistoryGone) => break,
                 Err(error) => {
                     standing.failed(&error);
-                    sleep(backoff.pause()).await;
+                    state.store_gate.wait(backoff.pause(&error, state.is_ready())).await;
                 }
             }
         }
@@ -289,7 +309,7 @@
     };
     while let Err(error) = store.register_vm(&own).await {
         standing.failed(&error);
-        sleep(backoff.pause()).await;
+        state.store_gate.wait(backoff.pause(&error, state.is_ready())).await;
     }
     standing.answered();
     let mut pause = REGISTER_TIME;
--- a/crates/papayastack/src/forward/ingress.rs
+++ b/crates/papayastack/src/forward/ingress.rs
@@ -138,6 +138,9 @@
         let shards = decisions.shards(route, &services, &upstreams);
         (services, shards)
     };
+    if shards.iter().any(|shard| shard.replicas.is_empty()) {
+        state.upstreams_wanted.notify_waiters();
+    }
     let unservable = match &route.target {
         RouteTarget::Service(_) | RouteTarget::Split(_) => {
             shards.iter().all(|shard| shard.replicas.is_empty())
--- a/crates/papayastack/src/forward/mod.rs
+++ b/crates/papayastack/src/forward/mod.rs
@@ -11,6 +11,7 @@
 //! | `records` | the merging of opaque parts |
 //! | `ingress` | what callers send and get |
 //! | `feeds` | following the store |
+//! | `store_gate` | who asks a lost store again |
 //! | `gateway` | one VM that forwards, wired together |
 //! | `metrics`, `operators` | what operators see |
 //! | `edge` | what the platform's side provides: names, formats, the store |
@@ -31,6 +32,7 @@
 mod route;
 mod settings;
 mod state;
+mod store_gate;
 #[cfg(test)]
 mod tests;
 
@@ -41,8 +43,8 @@
 }
 
 pub use edge::{
-    AddressCaller, Change, Changes, EntryFault, FeedStore, HeaderNames, IngressFormat, Listing,
-    Named, StoreRevision,
+    AddressCaller, Change, Changes, EntryFault, FeedStore, Freshness, HeaderNames, IngressFormat,
+    Listing, Named, StoreRevision,
 };
 pub use gateway::{Gateway, GatewayError};
 pub use registry::{UpstreamEntry, UpstreamState};
--- a/crates/papayastack/src/forward/state.rs
+++ b/crates/papayastack/src/forward/state.rs
@@ -7,7 +7,7 @@
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use super::edge::IngressFormat;
 use super::metrics::ForwardMetrics;
@@ -15,6 +15,7 @@
 use super::registry::UpstreamSet;
 use super::route::{Route, RouteTable, SplitPart};
 use super::settings::GatewaySettings;
+use super::store_gate::StoreGate;
 use crate::admission::Admission;
 use crate::ids::ServiceName;
 use crate::membership::MemberView;
@@ -37,6 +38,9 @@
     pub(crate) upstreams: watch::Sender<Option<Arc<UpstreamSet>>>,
     pub(crate) members: watch::Receiver<Arc<MemberView>>,
     pub(crate) metrics: ForwardMetrics,
+    pub(crate) store_gate: StoreGate,
+    /// Told when a request finds a service without upstreams.
+    pub(crate) upstreams_wanted: Notify,
     pub(crate) leave_asked: watch::Sender<bool>,
     pub(crate) leaving: AtomicBool,
     pub(crate) refuses: AtomicBool,
@@ -61,6 +65,8 @@
             upstreams: watch::Sender::new(None),
             members,
             metrics: ForwardMetrics::new(),
+            store_gate: StoreGate::default(),
+            upstreams_wanted: Notify::new(),
             leave_asked: watch::Sender::new(false),
             leaving: AtomicBool::new(false),
             refuses: AtomicBool::new(false),
--- a/crates/papayastack/src/forward/tests/mod.rs
+++ b/crates/papayastack/src/forward/tests/mod.rs
@@ -8,4 +8,5 @@
 mod registry;
 mod routes;
 mod settings;
+mod store_gate;
 mod windows;
--- /dev/null
+++ b/crates/papayastack/src/forward/tests/store_gate.rs
@@ -0,0 +1,52 @@
+//! Tests of who asks a lost store again.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use crate::forward::store_gate::StoreGate;
+
+/// Starts a feed whose calls all fail; returns the count of its calls.
+fn failing_feed(gate: &Arc<StoreGate>) -> Arc<AtomicU32> {
+    let calls = Arc::new(AtomicU32::new(0));
+    let (gate, counted) = (Arc::clone(gate), Arc::clone(&calls));
+    tokio::spawn(async move {
+        loop {
+            counted.fetch_add(1, Ordering::Relaxed);
+            gate.wait(Duration::from_millis(500)).await;
+        }
+    });
+    calls
+}
+
+#[tokio::test(start_paused = true)]
+async fn one_feed_asks_a_lost_store_for_all() {
+    let gate = Arc::new(StoreGate::default());
+    let feeds = [failing_feed(&gate), failing_feed(&gate), failing_feed(&gate)];
+
+    tokio::time::sleep(Duration::from_millis(9_900)).await;
+
+    let mut calls: Vec<u32> = feeds.iter().map(|calls| calls.load(Ordering::Relaxed)).collect();
+    calls.sort_unstable();
+    assert!(calls.iter().sum::<u32>() <= 30, "{calls:?}");
+    assert!(calls[2] >= 8, "{calls:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_others_go_on_as_soon_as_a_call_is_answered() {
+    let gate = Arc::new(StoreGate::default());
+    let asking = failing_feed(&gate);
+    tokio::task::yield_now().await;
+    let started = tokio::time::Instant::now();
+    let waiting = tokio::spawn({
+        let gate = Arc::clone(&gate);
+        async move { gate.wait(Duration::from_secs(60)).await }
+    });
+    tokio::time::sleep(Duration::from_millis(100)).await;
+
+    gate.call_answered();
+
+    waiting.await.unwrap();
+    assert_eq!(started.elapsed(), Duration::from_millis(100));
+    assert_eq!(asking.load(Ordering::Relaxed), 1);
+}
--- a/crates/papayastack/src/lib.rs
+++ b/crates/papayastack/src/lib.rs
@@ -70,10 +70,10 @@
 };
 pub use dispatch::{CancelResult, Gate, GateLimits, OfferResult, Ticket, Waiting};
 pub use forward::{
-    AddressCaller, CallerLimits, Change, Changes, EntryFault, FeedStore, Gateway, GatewayError,
-    GatewaySettings, HeaderNames, IngressFormat, Listing, Named, RepeatSettings, RequestKind,
-    Route, RouteDocument, RouteTable, RouteTarget, ServiceEntry, ShardTarget, SplitPart,
-    StoreRevision, UpstreamEntry, UpstreamState,
+    AddressCaller, CallerLimits, Change, Changes, EntryFault, FeedStore, Freshness, Gateway,
+    GatewayError, GatewaySettings, HeaderNames, IngressFormat, Listing, Named, RepeatSettings,
+    RequestKind, Route, RouteDocument, RouteTable, RouteTarget, ServiceEntry, ShardTarget,
+    SplitPart, StoreRevision, UpstreamEntry, UpstreamState,
 };
 pub use ids::{
     AttemptId, DataCentreName, Incarnation, QueryId, RegionName, ServiceName, ShardId, SiteName,
