Bound callers' idle connections by the limits of the routes in force

Cause: found while tracing a cut request. Callers' connections were closed after a constant of 30 s, whatever idle time the operator's limits name; on an installation with a longer one, callers that reuse a connection within it would have met a closed one. Seen: on no installation; both sites name 15 s, which is kept to now. Test: listen::tests::an_idle_connection_is_kept_as_long_as_its_own_bound_says.

--- a/crates/papayastack/src/forward/gateway.rs
+++ b/crates/papayastack/src/forward/gateway.rs
@@ -18,7 +18,7 @@
 use super::settings::GatewaySettings;
 use super::state::ForwardState;
 use crate::addresses::Leaving;
-use crate::listen::HttpServer;
+use crate::listen::{HeadTimeout, HttpServer};
 use crate::membership::{Member, MemberState, Membership, VmIdentity};
 use crate::observe::{DecisionEvent, DecisionLog};
 use crate::operator::OperatorServer;
@@ -29,6 +29,9 @@
 const PROGRESS_INTERVAL: Duration = Duration::from_millis(20);
 /// The share of the time before the kill after which new requests are refused.
 const ACCEPT_GRACE_SHARE: f64 = 0.55;
+/// How long callers' connections may stay idle before limits are known; callers are told to come back
+/// within a second then.
+const NOT_SERVING_IDLE_MAX: Duration = Duration::from_secs(30);
 /// The time kept before the kill for the end of the process.
 const STOP_MARGIN: Duration = Duration::from_millis(400);
 
@@ -99,7 +102,14 @@
         let membership = Arc::new(membership);
         let state = Arc::new(ForwardState::new(settings, format, membership.view(), log));
         let settings = &state.settings;
-        let callers = bind(settings.caller_address, caller_router(Arc::clone(&state))).await?;
+        let caller_address = settings.caller_address;
+        let callers = HttpServer::bind_bounded(
+            caller_address,
+            caller_router(Arc::clone(&state)),
+            caller_head_timeout(&state),
+        )
+        .await
+        .change_context(GatewayError::Bind { address: caller_address })?;
         let ready = bind(settings.ready_address, ready_router(Arc::clone(&state))).await?;
         let directory =
             bind(settings.directory_address, directory_router(Arc::clone(&state))).await?;
@@ -194,6 +204,15 @@
     }
 }
 
+/// Follows the limits of the routes in force; before the first, callers are only refused.
+fn caller_head_timeout(state: &Arc<ForwardState>) -> HeadTimeout {
+    let state = Arc::clone(state);
+    Arc::new(move || {
+        let limits = state.routes.borrow().as_ref().map(|table| table.document().limits);
+        limits.map_or(NOT_SERVING_IDLE_MAX, |limits| limits.idle_timeout.max(limits.head_timeout))
+    })
+}
+
 async fn bind(
     address: SocketAddr,
     router: axum::Router,
--- a/crates/papayastack/src/listen/mod.rs
+++ b/crates/papayastack/src/listen/mod.rs
@@ -5,4 +5,4 @@
 mod tests;
 
 pub use server::BindError;
-pub(crate) use server::HttpServer;
+pub(crate) use server::{HeadTimeout, HttpServer};
--- a/crates/papayastack/src/listen/server.rs
+++ b/crates/papayastack/src/listen/server.rs
@@ -21,7 +21,8 @@
 
 /// Connections that one server keeps open at a time; further ones are closed at once.
 const CONNECTIONS_MAX: usize = 8_192;
-/// How long a connection may take to send the head of a request, or stay idle.
+/// How long a connection may take to send the head of a request, or stay idle, unless the server has a
+/// bound of its own.
 const HEAD_READ_TIMEOUT: Duration = Duration::from_secs(30);
 /// The pause after a connection could not be accepted, for example for want of descriptors.
 const ACCEPT_RETRY: Duration = Duration::from_millis(50);
@@ -43,6 +44,9 @@
 
 impl std::error::Error for BindError {}
 
+/// Returns how long a connection that is accepted now may take to send a head, or stay idle.
+pub(crate) type HeadTimeout = Arc<dyn Fn() -> Duration + Send + Sync>;
+
 /// A running HTTP server; dropped, it stops at once.
 #[derive(Debug)]
 pub(crate) struct HttpServer {
@@ -57,6 +61,15 @@
     pub(crate) async fn bind(
         address: SocketAddr,
         router: Router,
+    ) -> Result<Self, Report<BindError>> {
+        Self::bind_bounded(address, router, Arc::new(|| HEAD_READ_TIMEOUT)).await
+    }
+
+    /// Listens like [`Self::bind`] with an own bound on idle connections and slow heads.
+    pub(crate) async fn bind_bounded(
+        address: SocketAddr,
+        router: Router,
+        head_timeout: HeadTimeout,
     ) -> Result<Self, Report<BindError>> {
         let bind_error = BindError { address };
         let listener = TcpListener::bind(address).await.change_context(bind_error.clone())?;
@@ -67,7 +80,7 @@
             count_request(Arc::clone(&counted), request, next)
         }));
         let (stop, stopped) = watch::channel(false);
-        let task = tokio::spawn(accept_connections(listener, router, stopped));
+        let task = tokio::spawn(accept_connections(listener, router, head_timeout, stopped));
         Ok(Self { address, traffic, stop, task })
     }
 
@@ -142,6 +155,7 @@
 async fn accept_connections(
     listener: TcpListener,
     router: Router,
+    head_timeout: HeadTimeout,
     mut stopped: watch::Receiver<bool>,
 ) {
     let places = Arc::new(Semaphore::new(CONNECTIONS_MAX));
@@ -164,7 +178,7 @@
             log::warn!(target: "papaya::listen", "listen: Closed a connection above {CONNECTIONS_MAX}.");
             continue;
         };
-        let connection = serve_connection(stream, router.clone(), stopped.clone());
+        let connection = serve_connection(stream, router.clone(), head_timeout(), stopped.clone());
         connections.spawn(async move {
             connection.await;
             drop(place);
@@ -174,13 +188,18 @@
     while connections.join_next().await.is_some() {}
 }
 
-async fn serve_connection(stream: TcpStream, router: Router, mut stopped: watch::Receiver<bool>) {
+async fn serve_connection(
+    stream: TcpStream,
+    router: Router,
+    head_timeout: Duration,
+    mut stopped: watch::Receiver<bool>,
+) {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!(target: "papaya::listen", "listen: Cannot set TCP_NODELAY: {error}.");
     }
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(HEAD_READ_TIMEOUT)
+        .header_read_timeout(head_timeout)
         .serve_connection(TokioIo::new(stream), TowerToHyperService::new(router));
     let mut connection = std::pin::pin!(connection);
     let ended = tokio::select! {
--- a/crates/papayastack/src/listen/tests.rs
+++ b/crates/papayastack/src/listen/tests.rs
@@ -1,5 +1,8 @@
 //! Tests of the bounds on connections.
 
+use std::sync::Arc;
+use std::time::Duration;
+
 use axum::Router;
 use axum::routing::get;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -50,3 +53,17 @@
         tokio::task::yield_now().await;
     }
 }
+
+#[tokio::test(start_paused = true)]
+async fn an_idle_connection_is_kept_as_long_as_its_own_bound_says() {
+    let router = Router::new().route("/", get(|| async { "answer" }));
+    let bound = Arc::new(|| Duration::from_secs(90));
+    let server =
+        HttpServer::bind_bounded("127.0.0.1:0".parse().unwrap(), router, bound).await.unwrap();
+    let started = tokio::time::Instant::now();
+
+    let reply = exchange(&server, "GET / HTTP/1.1\r\nhost: vm\r\n\r\n").await;
+
+    assert!(reply.ends_with("answer"));
+    assert_eq!(started.elapsed().as_secs(), 90);
+}
