--- a/crates/papayastack/src/forward/tests/plan.rs
+++ b/crates/papayastack/src/forward/tests/plan.rs
@@ -3,9 +3,13 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
 use super::routes::{route, shard_target};
 use crate::forward::plan::{answer_deadline, gather_spec};
-use crate::forward::{RequestKind, Route, RouteTarget};
+use crate::forward::state::ForwardDecisions;
+use crate::forward::{RequestKind, Route, RouteTarget, SplitPart};
 use crate::query::{GatherSpec, Repeat};
 
 fn spec(route: &Route, now: Instant) -> GatherSpec {
@@ -49,3 +53,20 @@
     assert!(enough.at > now + route.goal / 2);
     assert!(enough.at < now + route.goal);
 }
+
+#[test]
+fn a_split_keeps_its_weights_in_any_run_of_requests() {
+    let mut decisions = ForwardDecisions::new(SmallRng::seed_from_u64(1));
+    let parts = [("one", 250), ("two", 3_000), ("off", 0)];
+    let parts = parts.map(|(service, weight)| SplitPart { service: service.to_owned(), weight });
+    let route = Route { target: RouteTarget::Split(parts.to_vec()), ..route("r", "h", "/") };
+    let mut taken = [0_u32; 3];
+
+    for request in 1..=1_300_u32 {
+        taken[decisions.turn(&route, &parts)] += 1;
+        let expected = f64::from(request) * 250.0 / 3_250.0;
+        assert!((f64::from(taken[0]) - expected).abs() <= 1.0, "{taken:?} of {request}");
+    }
+
+    assert_eq!(taken, [100, 1_200, 0]);
+}
