--- a/crates/papayastack/src/query/silence.rs
+++ b/crates/papayastack/src/query/silence.rs
@@ -68,10 +68,8 @@
         let relapsed = self
             .held_until
             .is_some_and(|until| now.saturating_duration_since(until) <= SILENCE_RELAPSE);
-        self.hold = match relapsed {
-            true => (self.hold * 2).min(SILENCE_HOLD_MAX),
-            false => SILENCE_HOLD_INITIAL,
-        };
+        self.hold =
+            if relapsed { (self.hold * 2).min(SILENCE_HOLD_MAX) } else { SILENCE_HOLD_INITIAL };
         self.held_until = Some(now + self.hold);
         self.report = None;
         Some(self.hold)
