Encode and decode single messages in CBOR in one place

Cause: membership, the handshake of links and the notices each wrote the same two functions. Change: the module cbor has them; a frame of many messages on a link stays with its bound on size.

--- a/crates/papayastack/src/forward/news.rs
+++ b/crates/papayastack/src/forward/news.rs
@@ -14,6 +14,7 @@
 
 use super::registry::UpstreamSet;
 use super::state::ForwardState;
+use crate::cbor;
 use crate::ids::UpstreamId;
 use crate::membership::{Membership, Notice};
 use crate::observe::DecisionEvent;
@@ -35,15 +36,12 @@
 impl SilentUpstreams {
     /// Encodes the notice.
     pub(crate) fn encode(&self) -> Bytes {
-        let mut bytes = Vec::new();
-        ciborium::into_writer(self, &mut bytes).expect("writing to memory succeeds");
-        bytes.into()
+        cbor::encode(self).into()
     }
 
     /// Decodes a notice; `None` where it is malformed.
-    pub(crate) fn decode(mut bytes: &[u8]) -> Option<Self> {
-        let silent = ciborium::from_reader(&mut bytes).ok()?;
-        bytes.is_empty().then_some(silent)
+    pub(crate) fn decode(bytes: &[u8]) -> Option<Self> {
+        cbor::decode(bytes)
     }
 }
 
--- a/crates/papayastack/src/lib.rs
+++ b/crates/papayastack/src/lib.rs
@@ -30,6 +30,7 @@
 mod addresses;
 mod admission;
 mod caller;
+mod cbor;
 mod catalogue;
 mod configuration;
 mod dispatch;
--- a/crates/papayastack/src/membership/message.rs
+++ b/crates/papayastack/src/membership/message.rs
@@ -6,7 +6,6 @@
 
 use bytes::Bytes;
 use papayastack_macros::message;
-use serde::Serialize;
 
 use crate::ids::{DataCentreName, Incarnation, RegionName, VmAddress};
 
@@ -199,16 +198,3 @@
         Self { region, sequence, reachable }
     }
 }
-
-/// Encodes a message or a part of one.
-pub(crate) fn encode(content: &impl Serialize) -> Vec<u8> {
-    let mut bytes = Vec::new();
-    ciborium::into_writer(content, &mut bytes).expect("writing to memory succeeds");
-    bytes
-}
-
-/// Decodes a whole datagram's content; `None` where it is malformed.
-pub(crate) fn decode(mut bytes: &[u8]) -> Option<Message> {
-    let message = ciborium::from_reader(&mut bytes).ok()?;
-    bytes.is_empty().then_some(message)
-}
--- a/crates/papayastack/src/membership/protocol/comparing.rs
+++ b/crates/papayastack/src/membership/protocol/comparing.rs
@@ -6,9 +6,10 @@
 use rand::seq::IndexedRandom;
 use twox_hash::XxHash3_64;
 
+use crate::cbor::encode;
 use crate::ids::VmAddress;
 use crate::membership::VmIdentity;
-use crate::membership::message::{Purpose, Record, Update, encode};
+use crate::membership::message::{Purpose, Record, Update};
 
 use super::MembershipProtocol;
 use super::peers::{Peer, address_hash};
--- a/crates/papayastack/src/membership/protocol/mod.rs
+++ b/crates/papayastack/src/membership/protocol/mod.rs
@@ -22,6 +22,7 @@
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
 
+use crate::cbor::decode;
 use crate::ids::{DataCentreName, Incarnation, RegionName, VmAddress};
 use crate::settings::MembershipSettings;
 
@@ -29,7 +30,7 @@
 use self::peers::Peers;
 use self::probing::Probes;
 use super::budget::ByteBudget;
-use super::message::{Message, Purpose, Record, Update, VersionNote, decode};
+use super::message::{Message, Purpose, Record, Update, VersionNote};
 use super::regions::Regions;
 use super::updates::UpdateQueue;
 use super::{Member, MemberView, MembershipCounts, VmIdentity};
@@ -152,7 +153,7 @@
         body: &[u8],
         now: Instant,
     ) -> Result<(), SealError> {
-        let message = decode(body).ok_or(SealError::Malformed)?;
+        let message: Message = decode(body).ok_or(SealError::Malformed)?;
         if !self.gone && sender.address != self.own.identity.address {
             self.on_message(sender, meant, message, now);
         }
--- a/crates/papayastack/src/membership/protocol/sending.rs
+++ b/crates/papayastack/src/membership/protocol/sending.rs
@@ -2,9 +2,10 @@
 
 use std::time::Instant;
 
+use crate::cbor::encode;
 use crate::ids::VmAddress;
 use crate::membership::VmIdentity;
-use crate::membership::message::{Claim, Message, ProbeNumber, Purpose, Update, encode};
+use crate::membership::message::{Claim, Message, ProbeNumber, Purpose, Update};
 
 use super::merging::Acquaintance;
 use super::{MembershipDatagram, MembershipProtocol};
--- a/crates/papayastack/src/membership/tests/decoding.rs
+++ b/crates/papayastack/src/membership/tests/decoding.rs
@@ -7,9 +7,10 @@
 use proptest::test_runner::RngSeed;
 
 use super::cluster::{Cluster, address};
+use crate::cbor::{decode, encode};
 use crate::membership::VmIdentity;
 use crate::membership::message::{
-    Claim, Message, Purpose, Record, RegionNote, Update, VersionNote, decode, encode,
+    Claim, Message, Purpose, Record, RegionNote, Update, VersionNote,
 };
 
 fn identity() -> impl Strategy<Value = VmIdentity> {
--- a/crates/papayastack/src/membership/updates.rs
+++ b/crates/papayastack/src/membership/updates.rs
@@ -4,7 +4,8 @@
 
 use crate::ids::{RegionName, VmAddress};
 
-use super::message::{Update, encode};
+use super::message::Update;
+use crate::cbor::encode;
 
 /// The longest update that is spread, in bytes; a name of 128 bytes fits.
 const UPDATE_MAX_BYTES: usize = 300;
--- a/crates/papayastack/src/seal/handshake.rs
+++ b/crates/papayastack/src/seal/handshake.rs
@@ -11,9 +11,9 @@
 
 use papayastack_macros::message;
 use rand::Rng;
-use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::cbor;
 use crate::ids::VmAddress;
 use crate::membership::VmIdentity;
 
@@ -53,7 +53,7 @@
         nonce: Nonce,
     ) -> (Self, Vec<u8>) {
         let key = keyring.signing().clone();
-        let content = encode(&Hello { client: own, server, nonce });
+        let content = cbor::encode(&Hello { client: own, server, nonce });
         let hello = tagged(&key, HELLO_LABEL, &[], content);
         (Self { key, server, hello: hello.clone() }, hello)
     }
@@ -108,7 +108,7 @@
         if server != own.address {
             return Err(SealError::UnexpectedPeer);
         }
-        let content = encode(&Challenge { server: own, nonce });
+        let content = cbor::encode(&Challenge { server: own, nonce });
         let challenge = tagged(&key, CHALLENGE_LABEL, &[hello], content);
         Ok((Self { key, client, hello: hello.to_vec(), challenge: challenge.clone() }, challenge))
     }
@@ -157,18 +157,8 @@
     nonce: Nonce,
 }
 
-fn encode(content: &impl Serialize) -> Vec<u8> {
-    let mut bytes = Vec::new();
-    ciborium::into_writer(content, &mut bytes).expect("writing to memory succeeds");
-    bytes
-}
-
-fn decode<T: DeserializeOwned>(mut content: &[u8]) -> Result<T, SealError> {
-    let decoded = ciborium::from_reader(&mut content).map_err(|_| SealError::Malformed)?;
-    if !content.is_empty() {
-        return Err(SealError::Malformed);
-    }
-    Ok(decoded)
+fn decode<T: DeserializeOwned>(content: &[u8]) -> Result<T, SealError> {
+    cbor::decode(content).ok_or(SealError::Malformed)
 }
 
 /// Appends a tag over `earlier` messages and `content`.
