Notice a missing upstream sooner while it would be held

Entries that go missing within 2.5 s of a failed call are held for 2.2 s; with the gap of 1.2 s between watches they were noticed up to 1.2 s late, and the end of a hold was looked at only after the next gap: 3.0 to 3.6 s after the store's word, 3 s allowed. Change: the gap is 0.2 s around trouble of the store, and a hold ends with the watch that waited for it.

--- a/crates/papayastack/src/forward/feeds.rs
+++ b/crates/papayastack/src/forward/feeds.rs
@@ -22,9 +22,9 @@
 /// The pause between two watches of upstreams, in which changes gather: calls are charged, and a
 /// leaving upstream serves for seconds after its word.
 const UPSTREAMS_GAP: Duration = Duration::from_millis(1_200);
-/// That pause while requests find a service without upstreams, as after an outage in which all entries
-/// lapsed.
-const UPSTREAMS_GAP_WANTED: Duration = Duration::from_millis(200);
+/// That pause around trouble of the store, and while requests find a service without upstreams, as after
+/// an outage in which all entries lapsed.
+const UPSTREAMS_GAP_SHORT: Duration = Duration::from_millis(200);
 /// The pause between two watches of the routes.
 const ROUTES_GAP: Duration = Duration::from_millis(100);
 /// The first pause after a failed call.
@@ -131,9 +131,12 @@
         };
         loop {
             let wanted = state.upstreams_wanted.notified();
-            sleep(UPSTREAMS_GAP_WANTED).await;
-            // Ends early if a request needs what the next watch may bring.
-            let _ = timeout(UPSTREAMS_GAP - UPSTREAMS_GAP_WANTED, wanted).await;
+            sleep(UPSTREAMS_GAP_SHORT).await;
+            // A missing entry is held after trouble, so that it must be noticed soon.
+            if !registry.is_troubled(Instant::now()) {
+                // Ends early if a request needs what the next watch may bring.
+                let _ = timeout(UPSTREAMS_GAP - UPSTREAMS_GAP_SHORT, wanted).await;
+            }
             let notes = registry.on_tick(Instant::now());
             publish_upstreams(&state, &registry, notes);
             let wait = registry.next_wake().map_or(WATCH_WAIT, |wake| {
@@ -144,7 +147,9 @@
                     backoff.reset();
                     standing.answered();
                     revision = revision.max(changes.revision);
-                    let notes = registry.on_changes(changes.changes, Instant::now());
+                    let mut notes = registry.on_changes(changes.changes, Instant::now());
+                    // The watch may have waited for a hold to end.
+                    notes.extend(registry.on_tick(Instant::now()));
                     publish_upstreams(&state, &registry, notes);
                 }
                 Err(PlatformError::HistoryGone) => break,
--- a/crates/papayastack/src/forward/registry.rs
+++ b/crates/papayastack/src/forward/registry.rs
@@ -137,6 +137,11 @@
         self.troubled_at = Some(now);
     }
 
+    /// Tells whether a call to the store failed a short while ago, so that missing entries are held.
+    pub(crate) fn is_troubled(&self, now: Instant) -> bool {
+        self.troubled_at.is_some_and(|at| now.saturating_duration_since(at) < TROUBLE_HOLD)
+    }
+
     /// Takes a whole list; what it lacks is gone.
     pub(crate) fn on_list(
         &mut self,
@@ -271,9 +276,7 @@
         if known.missing_until.is_some() {
             return;
         }
-        let troubled =
-            self.troubled_at.is_some_and(|at| now.saturating_duration_since(at) < TROUBLE_HOLD);
-        if !troubled || known.entry.state != UpstreamState::Ready {
+        if !self.is_troubled(now) || known.entry.state != UpstreamState::Ready {
             self.drop_known(id, UnusableReason::Removed, now, notes);
             return;
         }
