Test that a hold after trouble ends within the time of a leaving upstream

Change: follow_upstreams takes its time from the runtime, so that a scripted store plays it in virtual time.

--- a/crates/papayastack/src/forward/feeds.rs
+++ b/crates/papayastack/src/forward/feeds.rs
@@ -117,14 +117,14 @@
             Ok(listing) => {
                 backoff.reset();
                 standing.answered();
-                let notes = registry.on_list(listing.entries, Instant::now());
+                let notes = registry.on_list(listing.entries, now());
                 publish_upstreams(&state, &registry, notes);
                 freshness = Freshness::Current;
                 listing.revision
             }
             Err(error) => {
                 standing.failed(&error);
-                registry.store_failed(Instant::now());
+                registry.store_failed(now());
                 state.store_gate.wait(backoff.pause(&error, state.is_ready())).await;
                 continue;
             }
@@ -133,29 +133,29 @@
             let wanted = state.upstreams_wanted.notified();
             sleep(UPSTREAMS_GAP_SHORT).await;
             // A missing entry is held after trouble, so that it must be noticed soon.
-            if !registry.is_troubled(Instant::now()) {
+            if !registry.is_troubled(now()) {
                 // Ends early if a request needs what the next watch may bring.
                 let _ = timeout(UPSTREAMS_GAP - UPSTREAMS_GAP_SHORT, wanted).await;
             }
-            let notes = registry.on_tick(Instant::now());
+            let notes = registry.on_tick(now());
             publish_upstreams(&state, &registry, notes);
-            let wait = registry.next_wake().map_or(WATCH_WAIT, |wake| {
-                wake.saturating_duration_since(Instant::now()).min(WATCH_WAIT)
-            });
+            let wait = registry
+                .next_wake()
+                .map_or(WATCH_WAIT, |wake| wake.saturating_duration_since(now()).min(WATCH_WAIT));
             match store.watch_upstreams(revision, wait).await {
                 Ok(changes) => {
                     backoff.reset();
                     standing.answered();
                     revision = revision.max(changes.revision);
-                    let mut notes = registry.on_changes(changes.changes, Instant::now());
+                    let mut notes = registry.on_changes(changes.changes, now());
                     // The watch may have waited for a hold to end.
-                    notes.extend(registry.on_tick(Instant::now()));
+                    notes.extend(registry.on_tick(now()));
                     publish_upstreams(&state, &registry, notes);
                 }
                 Err(PlatformError::HistoryGone) => break,
                 Err(error) => {
                     standing.failed(&error);
-                    registry.store_failed(Instant::now());
+                    registry.store_failed(now());
                     state.store_gate.wait(backoff.pause(&error, state.is_ready())).await;
                 }
             }
@@ -163,6 +163,11 @@
     }
 }
 
+/// Returns the time as the pauses of this task count it.
+fn now() -> Instant {
+    tokio::time::Instant::now().into_std()
+}
+
 fn publish_upstreams(state: &ForwardState, registry: &Registry, notes: Vec<RegistryNote>) {
     let old = state.upstreams.borrow().clone();
     if old.as_ref().is_none_or(|old| old.version != registry.version()) {
--- /dev/null
+++ b/crates/papayastack/src/forward/tests/feeds.rs
@@ -0,0 +1,159 @@
+//! Tests of following the store in virtual time, against a scripted store.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use axum::http::{HeaderName, Uri};
+use bytes::Bytes;
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep};
+
+use super::registry::{entry, named, removed};
+use crate::caller::AddressesAnswer;
+use crate::forward::feeds::follow_upstreams;
+use crate::forward::state::ForwardState;
+use crate::forward::{
+    AddressCaller, Changes, FeedStore, Freshness, GatewaySettings, HeaderNames, IngressFormat,
+    Listing, RepeatSettings, RouteDocument, StoreRevision, UpstreamEntry,
+};
+use crate::membership::MemberView;
+use crate::observe::DecisionLog;
+use crate::platform::{ListedVm, PlatformError};
+
+/// How long after the store's word a request may still reach a leaving upstream.
+const LEAVING_MAX: Duration = Duration::from_secs(3);
+
+struct NoFormat(HeaderNames);
+
+impl IngressFormat for NoFormat {
+    fn headers(&self) -> &HeaderNames {
+        &self.0
+    }
+
+    fn ready_path(&self) -> &'static str {
+        "/ready"
+    }
+
+    fn addresses_path(&self) -> &'static str {
+        "/addresses"
+    }
+
+    fn address_caller(&self, _: &Uri) -> AddressCaller {
+        AddressCaller::default()
+    }
+
+    fn address_answer(&self, _: &AddressesAnswer) -> Bytes {
+        Bytes::new()
+    }
+}
+
+/// Fails the first watch, answers the second one, and has lost the upstream `one` right after it.
+struct LosesOne {
+    watches: AtomicU32,
+    lost: watch::Sender<Option<Instant>>,
+}
+
+#[async_trait]
+impl FeedStore for LosesOne {
+    async fn list_upstreams(&self, _: Freshness) -> Result<Listing<UpstreamEntry>, PlatformError> {
+        Ok(Listing { entries: vec![named("one", entry("board", 1))], revision: 1 })
+    }
+
+    async fn watch_upstreams(
+        &self,
+        after: StoreRevision,
+        wait: Duration,
+    ) -> Result<Changes<UpstreamEntry>, PlatformError> {
+        match self.watches.fetch_add(1, Ordering::Relaxed) {
+            0 => Err(PlatformError::Unavailable),
+            1 => {
+                self.lost.send_replace(Some(Instant::now()));
+                Ok(Changes { changes: Vec::new(), revision: after })
+            }
+            2 => Ok(Changes { changes: vec![removed("one")], revision: after + 1 }),
+            _ => {
+                sleep(wait).await;
+                Ok(Changes { changes: Vec::new(), revision: after })
+            }
+        }
+    }
+
+    async fn list_routes(&self) -> Result<Listing<RouteDocument>, PlatformError> {
+        Err(PlatformError::Unavailable)
+    }
+
+    async fn watch_routes(
+        &self,
+        _: StoreRevision,
+        _: Duration,
+    ) -> Result<Changes<RouteDocument>, PlatformError> {
+        Err(PlatformError::Unavailable)
+    }
+
+    async fn register_vm(&self, _: &ListedVm) -> Result<(), PlatformError> {
+        Err(PlatformError::Unavailable)
+    }
+
+    async fn list_vms(&self) -> Result<Vec<ListedVm>, PlatformError> {
+        Err(PlatformError::Unavailable)
+    }
+}
+
+fn state() -> Arc<ForwardState> {
+    let address = ([127, 0, 0, 1], 0).into();
+    let settings = GatewaySettings {
+        vm: "front-1".to_owned(),
+        data_centre: "a".to_owned(),
+        data_centres: BTreeMap::from([("a".to_owned(), "region".to_owned())]),
+        caller_address: address,
+        ready_address: address,
+        directory_address: address,
+        link_address: address,
+        operator_address: address,
+        store_address: address,
+        system_keys: vec!["a key of the tests".to_owned()],
+        address_lifetime_max_s: 1,
+        stop_grace_s: 6,
+        repeats: RepeatSettings { window_s: 10, per_request: 0.2, extra: 56 },
+    };
+    let name = HeaderName::from_static;
+    let headers = HeaderNames {
+        request_id: name("request"),
+        remaining_ms: name("remaining"),
+        target_upstream: name("target"),
+        upstream_id: name("upstream"),
+        seal: name("seal"),
+        load: name("load"),
+        not_run: name("not-run"),
+        part_seals: name("seals"),
+        parts_missing: name("missing"),
+    };
+    let (_, members) = watch::channel(Arc::new(MemberView::default()));
+    Arc::new(ForwardState::new(
+        settings,
+        Arc::new(NoFormat(headers)),
+        members,
+        DecisionLog::silent(),
+    ))
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_upstream_that_is_gone_after_trouble_is_left_within_its_time() {
+    let state = state();
+    let (lost, mut lost_at) = watch::channel(None);
+    let store = Arc::new(LosesOne { watches: AtomicU32::new(0), lost });
+    let mut upstreams = state.upstreams.subscribe();
+    let feed = tokio::spawn(follow_upstreams(Arc::clone(&state), store));
+    let lost_at: Instant = lost_at.wait_for(Option::is_some).await.unwrap().unwrap();
+
+    upstreams
+        .wait_for(|set| set.as_ref().is_some_and(|set| set.by_index.is_empty()))
+        .await
+        .unwrap();
+
+    assert!(lost_at.elapsed() < LEAVING_MAX, "left after {:?}", lost_at.elapsed());
+    feed.abort();
+}
--- a/crates/papayastack/src/forward/tests/mod.rs
+++ b/crates/papayastack/src/forward/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of forwarding.
 
+mod feeds;
 mod gathering;
 mod load;
 mod model;
--- a/crates/papayastack/src/forward/tests/registry.rs
+++ b/crates/papayastack/src/forward/tests/registry.rs
@@ -5,7 +5,7 @@
 use crate::forward::registry::{Registry, RegistryNote, UnusableReason};
 use crate::forward::{Change, EntryFault, Named, UpstreamEntry, UpstreamState};
 
-fn entry(service: &str, port: u16) -> UpstreamEntry {
+pub(super) fn entry(service: &str, port: u16) -> UpstreamEntry {
     UpstreamEntry {
         service: service.to_owned(),
         address: ([127, 0, 0, 1], port).into(),
@@ -18,7 +18,7 @@
     }
 }
 
-fn named(name: &str, entry: UpstreamEntry) -> Named<UpstreamEntry> {
+pub(super) fn named(name: &str, entry: UpstreamEntry) -> Named<UpstreamEntry> {
     Named { name: name.to_owned(), content: Ok(entry) }
 }
 
@@ -27,7 +27,7 @@
     Named { name: name.to_owned(), content: Err(fault) }
 }
 
-fn removed(name: &str) -> Change<UpstreamEntry> {
+pub(super) fn removed(name: &str) -> Change<UpstreamEntry> {
     Change::Removed { name: name.to_owned() }
 }
 
