Log what decides membership and feeds, and how old it is

What callers saw: addresses of a VM that was off; routes 4.5 s out of date. The logs did not say why. Change: members_changed names the unreachable regions; routes_in_force its call and store revision; store_lost the time since the feed's last answer; feed_relisted is new; metrics count suspicions, deaths and stalls and give the age of each feed. Result: papayastack's unit tests pass; no decision changed.

--- a/crates/papayastack/src/forward/feeds.rs
+++ b/crates/papayastack/src/forward/feeds.rs
@@ -1,14 +1,16 @@
 //! Feeds from the store: tasks that list and watch upstreams, routes and the other VMs.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
+use papayastack_macros::closed_set;
 use rand::Rng;
 use serde_json::json;
 use tokio::time::{sleep, timeout};
 
-use super::interface::{Change, FeedStore, Freshness, NamedEntry};
+use super::interface::{Change, FeedStore, Freshness, NamedEntry, StoreRevision};
 use super::registry::{Registry, RegistryEvent};
 use super::route::{RouteDocument, RouteTable};
 use super::state::ForwardState;
@@ -75,27 +77,33 @@
     state: Arc<ForwardState>,
     feed: &'static str,
     lost_at: Option<Instant>,
+    answered_at: Instant,
 }
 
 impl StoreAvailability {
     fn new(state: &Arc<ForwardState>, feed: &'static str) -> Self {
-        Self { state: Arc::clone(state), feed, lost_at: None }
+        Self { state: Arc::clone(state), feed, lost_at: None, answered_at: now() }
     }
 
     fn call_failed(&mut self, error: &PlatformError) {
         self.state.metrics.store_call(self.feed, Some(error));
         if self.lost_at.is_none() {
             self.lost_at = Some(Instant::now());
-            self.state.log.write(
-                DecisionEvent::StoreLost,
-                || json!({ "feed": self.feed, "error": error.to_string() }),
-            );
+            self.state.log.write(DecisionEvent::StoreLost, || {
+                json!({
+                    "feed": self.feed,
+                    "error": error.to_string(),
+                    "unconfirmed_ms": self.unconfirmed_ms(),
+                })
+            });
         }
     }
 
     fn call_answered(&mut self) {
         self.state.metrics.store_call(self.feed, None);
         self.state.store_retry.call_answered();
+        self.answered_at = now();
+        self.state.record_feed_answer(self.feed, self.answered_at);
         if let Some(lost_at) = self.lost_at.take() {
             self.state.log.write(
                 DecisionEvent::StoreRegained,
@@ -103,6 +111,31 @@
             );
         }
     }
+
+    /// Logs why the feed lists everything again.
+    fn relisting(&self, reason: RelistReason) {
+        self.state.log.write(DecisionEvent::FeedRelisted, || {
+            json!({
+                "feed": self.feed,
+                "reason": reason,
+                "unconfirmed_ms": self.unconfirmed_ms(),
+            })
+        });
+    }
+
+    /// Returns the time since the store last answered a call of the feed.
+    fn unconfirmed_ms(&self) -> u64 {
+        now().saturating_duration_since(self.answered_at).as_millis() as u64
+    }
+}
+
+/// Why a feed reads everything from the store again.
+#[closed_set]
+enum RelistReason {
+    /// The store no longer has the changes after the feed's revision.
+    HistoryGone,
+    /// Another VM has a later version.
+    BehindPeers,
 }
 
 /// Lists and watches the upstreams until the task is aborted.
@@ -154,7 +187,10 @@
                     events.extend(registry.on_tick(now()));
                     publish_upstreams(&state, &registry, events);
                 }
-                Err(PlatformError::HistoryGone) => break,
+                Err(PlatformError::HistoryGone) => {
+                    availability.relisting(RelistReason::HistoryGone);
+                    break;
+                }
                 Err(error) => {
                     availability.call_failed(&error);
                     registry.store_failed(now());
@@ -220,7 +256,9 @@
             Ok(listing) => {
                 backoff.reset();
                 availability.call_answered();
-                listing.entries.into_iter().for_each(|entry| apply_routes(&state, entry));
+                for entry in listing.entries {
+                    apply_routes(&state, entry, RoutesSource::List, listing.revision);
+                }
                 listing.revision
             }
             Err(error) => {
@@ -235,7 +273,10 @@
             let outcome = tokio::select! {
                 outcome = watch => outcome,
                 // The watch or the store has lost a change that another VM has: lists again.
-                () = wait_until_behind_peers(&state) => Err(PlatformError::HistoryGone),
+                () = wait_until_behind_peers(&state) => {
+                    availability.relisting(RelistReason::BehindPeers);
+                    break;
+                }
             };
             match outcome {
                 Ok(changes) => {
@@ -244,13 +285,18 @@
                     revision = revision.max(changes.revision);
                     for change in changes.changes {
                         match change {
-                            Change::Put(entry) => apply_routes(&state, entry),
+                            Change::Put(entry) => {
+                                apply_routes(&state, entry, RoutesSource::Watch, revision);
+                            }
                             // The routes in force stay until a later version replaces them.
                             Change::Removed { .. } => {}
                         }
                     }
                 }
-                Err(PlatformError::HistoryGone) => break,
+                Err(PlatformError::HistoryGone) => {
+                    availability.relisting(RelistReason::HistoryGone);
+                    break;
+                }
                 Err(error) => {
                     availability.call_failed(&error);
                     state.store_retry.wait(backoff.pause(&error, state.is_ready())).await;
@@ -280,8 +326,20 @@
     }
 }
 
+/// The call whose answer held a document of routes.
+#[closed_set]
+enum RoutesSource {
+    List,
+    Watch,
+}
+
 /// Puts a document of routes in force if it is newer than the current one.
-fn apply_routes(state: &ForwardState, entry: NamedEntry<RouteDocument>) {
+fn apply_routes(
+    state: &ForwardState,
+    entry: NamedEntry<RouteDocument>,
+    source: RoutesSource,
+    store_revision: StoreRevision,
+) {
     let in_force = state.routes.borrow().as_ref().map(|table| table.document().version);
     let document = match entry.content {
         Ok(document) => document,
@@ -299,10 +357,15 @@
     let table = Arc::new(RouteTable::new(document));
     state.decisions().retain_routes(&table);
     state.routes.send_replace(Some(table));
-    state.log.write(
-        DecisionEvent::RoutesInForce,
-        || json!({ "version": version, "earlier_version": in_force, "routes": routes }),
-    );
+    state.log.write(DecisionEvent::RoutesInForce, || {
+        json!({
+            "version": version,
+            "earlier_version": in_force,
+            "routes": routes,
+            "source": source,
+            "store_revision": store_revision,
+        })
+    });
 }
 
 /// Records this VM in the store and finds the other VMs; lists them again only while none is known.
@@ -354,17 +417,22 @@
     let mut routes = state.routes.subscribe();
     let mut upstreams = state.upstreams.subscribe();
     let mut live_before: Vec<VmAddress> = Vec::new();
+    let mut unreachable_before = BTreeSet::new();
     loop {
         let view = members.borrow_and_update().clone();
         let seen = u32::try_from(view.members.len()).unwrap_or(u32::MAX);
         state.raise_vms_known(seen);
         let live: Vec<VmAddress> = view.live().map(|member| member.identity.address).collect();
-        if live != live_before {
-            state.log.write(
-                DecisionEvent::MembersChanged,
-                || json!({ "live": live, "live_before": live_before }),
-            );
+        if live != live_before || view.unreachable_regions != unreachable_before {
+            state.log.write(DecisionEvent::MembersChanged, || {
+                json!({
+                    "live": live,
+                    "live_before": live_before,
+                    "unreachable_regions": view.unreachable_regions,
+                })
+            });
             live_before = live;
+            unreachable_before = view.unreachable_regions.clone();
         }
         let version = routes.borrow_and_update().as_ref().map(|table| table.document().version);
         if let (Some(version), true) = (version, upstreams.borrow_and_update().is_some())
--- a/crates/papayastack/src/forward/gateway.rs
+++ b/crates/papayastack/src/forward/gateway.rs
@@ -116,7 +116,8 @@
         let directory_server =
             bind(settings.directory_address, directory_router(Arc::clone(&state))).await?;
         let operator_address = settings.operator_address;
-        let service = Arc::new(GatewayOperatorService::new(Arc::clone(&state)));
+        let service =
+            Arc::new(GatewayOperatorService::new(Arc::clone(&state), Arc::clone(&membership)));
         let operator_server = OperatorServer::bind(operator_address, service)
             .await
             .change_context(GatewayError::Bind { address: operator_address })?;
@@ -132,6 +133,7 @@
             json!({
                 "version": env!("CARGO_PKG_VERSION"),
                 "caller_address": caller_server.address(),
+                "directory_address": directory_server.address(),
                 "link_address": membership.address(),
                 "data_centre": state.settings.data_centre,
             })
--- a/crates/papayastack/src/forward/metrics.rs
+++ b/crates/papayastack/src/forward/metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics of a forwarding VM, with units in their names.
 
+use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
@@ -13,6 +14,7 @@
 use prometheus_client::registry::{Registry, Unit};
 
 use super::route::RouteTarget;
+use crate::membership::MembershipCounts;
 use crate::observe::{ANSWERED, attempt_name, platform_result_name};
 use crate::platform::PlatformError;
 use crate::query::{AttemptOutcome, FanoutCounts};
@@ -31,6 +33,9 @@
     pub(crate) connections: u64,
     pub(crate) connections_opened: u64,
     pub(crate) log_lines_dropped: u64,
+    pub(crate) membership: MembershipCounts,
+    /// The time since the store last answered a call of each feed.
+    pub(crate) feed_ages: BTreeMap<&'static str, Duration>,
 }
 
 /// The metrics of one forwarding VM.
@@ -47,6 +52,10 @@
     connections: Gauge<u64, AtomicU64>,
     connections_opened: Counter,
     log_lines_dropped: Counter,
+    membership_suspicions: Counter,
+    membership_deaths: Counter,
+    membership_stalls: Counter,
+    feed_ages: Family<FeedLabels, Gauge<f64, AtomicU64>>,
 }
 
 impl ForwardMetrics {
@@ -65,6 +74,10 @@
             connections: Gauge::default(),
             connections_opened: Counter::default(),
             log_lines_dropped: Counter::default(),
+            membership_suspicions: Counter::default(),
+            membership_deaths: Counter::default(),
+            membership_stalls: Counter::default(),
+            feed_ages: Family::default(),
         };
         metrics.register();
         metrics.start_at_zero();
@@ -79,6 +92,13 @@
         self.connections.set(levels.connections);
         self.connections_opened.inner().store(levels.connections_opened, Ordering::Relaxed);
         self.log_lines_dropped.inner().store(levels.log_lines_dropped, Ordering::Relaxed);
+        let MembershipCounts { suspicions, deaths, stalls, .. } = levels.membership;
+        self.membership_suspicions.inner().store(suspicions, Ordering::Relaxed);
+        self.membership_deaths.inner().store(deaths, Ordering::Relaxed);
+        self.membership_stalls.inner().store(stalls, Ordering::Relaxed);
+        for (feed, age) in &levels.feed_ages {
+            self.feed_ages.get_or_create(&FeedLabels { feed }).set(age.as_secs_f64());
+        }
         let mut text = String::new();
         encode(&mut text, &self.registry).expect("a string takes any text");
         text
@@ -133,6 +153,7 @@
         let result = platform_result_name(None);
         for call in ["upstreams", "routes", "vms"] {
             drop(self.store_calls.get_or_create(&CallLabels { call, result }));
+            drop(self.feed_ages.get_or_create(&FeedLabels { feed: call }));
         }
     }
 
@@ -157,6 +178,18 @@
         registry.register("connections_opened", "Connections made to upstreams", opened);
         let dropped = self.log_lines_dropped.clone();
         registry.register("log_lines_dropped", "Decision lines skipped or dropped", dropped);
+        let suspicions = self.membership_suspicions.clone();
+        registry.register("membership_suspicions", "Peers that missed probes", suspicions);
+        let deaths = self.membership_deaths.clone();
+        registry.register("membership_deaths", "Peers that this VM declared dead", deaths);
+        let stalls = self.membership_stalls.clone();
+        registry.register("membership_stalls", "Times that this VM was stalled", stalls);
+        registry.register_with_unit(
+            "feed_age",
+            "Time since the store last answered a call of the feed",
+            Unit::Seconds,
+            self.feed_ages.clone(),
+        );
     }
 }
 
@@ -176,6 +209,11 @@
     kind: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct FeedLabels {
+    feed: &'static str,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct CallLabels {
     call: &'static str,
--- a/crates/papayastack/src/forward/operators.rs
+++ b/crates/papayastack/src/forward/operators.rs
@@ -7,16 +7,18 @@
 
 use super::metrics::ForwardLevels;
 use super::state::ForwardState;
+use crate::membership::Membership;
 use crate::operator::{OperatorService, Readiness};
 
 /// Answers operators' requests to one forwarding VM.
 pub(crate) struct GatewayOperatorService {
     state: Arc<ForwardState>,
+    membership: Arc<Membership>,
 }
 
 impl GatewayOperatorService {
-    pub(crate) fn new(state: Arc<ForwardState>) -> Self {
-        Self { state }
+    pub(crate) fn new(state: Arc<ForwardState>, membership: Arc<Membership>) -> Self {
+        Self { state, membership }
     }
 
     fn levels(&self) -> ForwardLevels {
@@ -29,6 +31,8 @@
             connections,
             connections_opened,
             log_lines_dropped: state.log.dropped_total(),
+            membership: self.membership.counts(),
+            feed_ages: state.feed_ages(),
         }
     }
 }
--- a/crates/papayastack/src/forward/state.rs
+++ b/crates/papayastack/src/forward/state.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -55,6 +55,8 @@
     pub(crate) refuses_requests: AtomicBool,
     pub(crate) log: Arc<DecisionLog>,
     decisions: Mutex<ForwardDecisions>,
+    /// When the store last answered a call of each feed.
+    feed_answered_at: Mutex<BTreeMap<&'static str, Instant>>,
 }
 
 impl ForwardState {
@@ -86,6 +88,7 @@
             refuses_requests: AtomicBool::new(false),
             log,
             decisions: Mutex::new(ForwardDecisions::new(random)),
+            feed_answered_at: Mutex::default(),
         }
     }
 
@@ -94,6 +97,17 @@
         lock(&self.decisions)
     }
 
+    /// Records that the store answered a call of `feed`; returns when it did so before.
+    pub(crate) fn record_feed_answer(&self, feed: &'static str, now: Instant) -> Option<Instant> {
+        lock(&self.feed_answered_at).insert(feed, now)
+    }
+
+    /// Returns the time since the store last answered a call of each feed.
+    pub(crate) fn feed_ages(&self) -> BTreeMap<&'static str, Duration> {
+        let answered_at = lock(&self.feed_answered_at);
+        answered_at.iter().map(|(feed, at)| (*feed, at.elapsed())).collect()
+    }
+
     /// Tells whether this VM should get callers' requests.
     pub(crate) fn is_ready(&self) -> bool {
         !self.leaving.load(Ordering::Acquire)
--- a/crates/papayastack/src/observe/decisions.rs
+++ b/crates/papayastack/src/observe/decisions.rs
@@ -46,7 +46,9 @@
     StoreLost,
     /// The store answers again.
     StoreRegained,
-    /// The set of live VMs, as this VM sees it, has changed.
+    /// A feed reads everything from the store again instead of only the changes.
+    FeedRelisted,
+    /// The set of live VMs or of reachable regions, as this VM sees it, has changed.
     MembersChanged,
     /// A request got a complete answer within its latency goal.
     RequestServed,
@@ -64,7 +66,7 @@
 
 impl DecisionEvent {
     /// All kinds.
-    pub const ALL: [Self; 20] = [
+    pub const ALL: [Self; 21] = [
         Self::Started,
         Self::Stopping,
         Self::Stopped,
@@ -78,6 +80,7 @@
         Self::UpstreamIgnored,
         Self::StoreLost,
         Self::StoreRegained,
+        Self::FeedRelisted,
         Self::MembersChanged,
         Self::RequestServed,
         Self::RequestLate,
