--- a/crates/papayastack-daemon/tests/gateway/main.rs
+++ b/crates/papayastack-daemon/tests/gateway/main.rs
@@ -9,6 +9,9 @@
 /// How long the upstream takes for a request in the test that terminates the process meanwhile.
 const REQUEST_DURATION: Duration = Duration::from_millis(400);
 
+/// How long a VM that was lost may still be named to callers.
+const NAMED_AFTER_LOSS_MAX: Duration = Duration::from_secs(7);
+
 #[tokio::test]
 async fn a_terminated_process_finishes_its_requests_and_exits_with_0() {
     let upstream = Upstream::bind(REQUEST_DURATION).await;
@@ -41,6 +44,31 @@
     process.wait_until_served().await;
 }
 
+// Guards against addresses of a VM that is long off, which callers then try in vain: it ends without
+// a word and is alone in its data centre.
+#[tokio::test]
+async fn a_killed_vm_that_was_alone_in_its_data_centre_is_no_longer_named() {
+    let upstream = Upstream::bind(Duration::ZERO).await;
+    let store = start_store(Some(&upstream)).await;
+    let staying = GatewayProcess::start_in(store.address(), "a").await;
+    let mut lost = GatewayProcess::start_in(store.address(), "b").await;
+    while !staying.names(lost.caller_address).await {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+
+    lost.kill();
+    lost.exit_code().await;
+
+    let no_longer_named = async {
+        while staying.names(lost.caller_address).await {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    let named = tokio::time::timeout(NAMED_AFTER_LOSS_MAX, no_longer_named).await;
+    named.expect("the lost VM is no longer named");
+    assert!(staying.names(staying.caller_address).await);
+}
+
 #[tokio::test]
 async fn a_process_started_during_a_store_outage_serves_after_the_store_recovers() {
     let upstream = Upstream::bind(Duration::ZERO).await;
--- a/crates/papayastack-standin/src/platform/service.rs
+++ b/crates/papayastack-standin/src/platform/service.rs
@@ -16,8 +16,9 @@
 use axum::Router;
 use axum::body::Bytes;
 use axum::extract::{Path, Query, State as Shared};
-use axum::http::StatusCode;
 use axum::http::header::RETRY_AFTER;
+use axum::http::{HeaderName, HeaderValue, StatusCode};
+use axum::middleware::map_response_with_state;
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, put};
 use axum::{Json, extract::DefaultBodyLimit};
@@ -31,6 +32,8 @@
 
 /// The longest wait of one watch call, whatever the client asks for.
 const WATCH_WAIT_MAX: Duration = Duration::from_secs(30);
+/// Rises by one each time that the store comes back from an older copy.
+const ERA_HEADER: HeaderName = HeaderName::from_static("store-era");
 const BODY_MAX_BYTES: usize = 4 * 1024 * 1024;
 
 /// Returns a router that serves the store's protocol.
@@ -40,9 +43,17 @@
         .route("/objects/{kind}/{name}", get(read).put(replace).delete(remove))
         .route("/objects/{kind}/{name}/status", put(set_status))
         .layer(DefaultBodyLimit::max(BODY_MAX_BYTES))
+        .layer(map_response_with_state(Arc::clone(&state), add_era))
         .with_state(state)
 }
 
+/// Names the store's era in a response.
+async fn add_era(Shared(state): Shared<Arc<State>>, mut response: Response) -> Response {
+    let era = state.lock().store.era();
+    response.headers_mut().insert(ERA_HEADER, HeaderValue::from(era));
+    response
+}
+
 /// Why a call failed.
 enum CallError {
     Unavailable,
@@ -150,11 +161,15 @@
     let _waiting_watch = WaitingWatch::begin(state);
     let mut changed = state.changed.subscribe();
     let deadline = tokio::time::Instant::now() + wait;
+    let era = state.lock().store.era();
     loop {
         changed.borrow_and_update();
         {
             let mut inner = state.lock();
             check_available(&mut inner)?;
+            if inner.store.era() != era {
+                return Err(CallError::Unavailable);
+            }
             let events = inner.store.events(kind, after)?;
             if !events.is_empty() || tokio::time::Instant::now() >= deadline {
                 let revision = inner.store.revision();
--- a/crates/papayastack-standin/src/platform/standin.rs
+++ b/crates/papayastack-standin/src/platform/standin.rs
@@ -257,6 +257,12 @@
         self.change_objects(|inner| inner.store.compact());
     }
 
+    /// Comes back from a copy that is `age` old: what was written since is lost, and the header
+    /// `Store-Era` of all answers rises by one.
+    pub fn restore_copy(&self, age: Duration) {
+        self.change_objects(|inner| inner.store.restore(age, Instant::now()));
+    }
+
     fn change_objects(&self, change: impl FnOnce(&mut Inner)) {
         change(&mut self.state.lock());
         self.state.changed.send_modify(|count| *count += 1);
--- a/crates/papayastack-standin/src/platform/tests.rs
+++ b/crates/papayastack-standin/src/platform/tests.rs
@@ -94,6 +94,29 @@
     assert_eq!(standin.counts().conflicts, 7);
 }
 
+#[test]
+fn a_store_back_from_an_older_copy_loses_later_changes_and_gives_their_revisions_out_again() {
+    let start = Instant::now();
+    let at = |ms: u64| start + Duration::from_millis(ms);
+    let mut store = Store::default();
+    let name = |text: &str| ObjectName::new("ledger", text);
+    let (old, lost) = (name("old"), name("lost"));
+    store.create(&old, json!(1), Vec::new(), at(0));
+    let copied = store.revision();
+    store.replace(&old, None, json!(2), None, at(1_000));
+    store.create(&lost, json!(1), Vec::new(), at(1_100));
+    let newest = store.revision();
+
+    store.restore(Duration::from_millis(1_500), at(2_000));
+
+    assert_eq!((store.era(), store.revision()), (2, copied));
+    assert_eq!(store.read(&old).map(|stored| stored.spec), Some(json!(1)));
+    assert_eq!(store.read(&lost), None);
+    assert_eq!(store.events("ledger", newest), Err(HistoryGone));
+    store.create(&name("later"), json!(1), Vec::new(), at(2_100));
+    assert_eq!(store.revision(), copied + 1);
+}
+
 #[tokio::test]
 async fn a_watch_returns_the_next_version_or_nothing() {
     let (standin, client) = bind_with_client().await;
--- a/crates/papayastack/src/forward/feeds.rs
+++ b/crates/papayastack/src/forward/feeds.rs
@@ -8,6 +8,7 @@
 use papayastack_macros::closed_set;
 use rand::Rng;
 use serde_json::json;
+use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
 use super::interface::{Change, FeedStore, Freshness, NamedEntry, StoreRevision};
@@ -138,6 +139,17 @@
     BehindPeers,
 }
 
+/// Starts the feeds of routes and upstreams.
+pub(crate) fn spawn_feeds(
+    state: &Arc<ForwardState>,
+    store: Arc<dyn FeedStore>,
+) -> Vec<JoinHandle<()>> {
+    vec![
+        tokio::spawn(follow_routes(Arc::clone(state), Arc::clone(&store))),
+        tokio::spawn(follow_upstreams(Arc::clone(state), store)),
+    ]
+}
+
 /// Lists and watches the upstreams until the task is aborted.
 pub(crate) async fn follow_upstreams(state: Arc<ForwardState>, store: Arc<dyn FeedStore>) {
     let mut registry = Registry::default();
--- a/crates/papayastack/src/forward/gateway.rs
+++ b/crates/papayastack/src/forward/gateway.rs
@@ -10,7 +10,7 @@
 use serde_json::json;
 use tokio::task::JoinHandle;
 
-use super::feeds::{discover_vms, follow_members, follow_routes, follow_upstreams};
+use super::feeds::{discover_vms, follow_members, spawn_feeds};
 use super::ingress::{caller_router, directory_router, ready_router};
 use super::interface::{FeedStore, IngressFormat};
 use super::operators::GatewayOperatorService;
@@ -122,13 +122,12 @@
             .await
             .change_context(GatewayError::Bind { address: operator_address })?;
         membership.set_caller_address(caller_server.address());
-        let tasks = vec![
-            tokio::spawn(follow_routes(Arc::clone(&state), Arc::clone(&store))),
-            tokio::spawn(follow_upstreams(Arc::clone(&state), Arc::clone(&store))),
+        let mut tasks = spawn_feeds(&state, Arc::clone(&store));
+        tasks.extend([
             tokio::spawn(discover_vms(Arc::clone(&state), store, Arc::clone(&membership))),
             tokio::spawn(exchange_silence_notices(Arc::clone(&state), Arc::clone(&membership))),
             tokio::spawn(follow_members(Arc::clone(&state), Arc::clone(&membership))),
-        ];
+        ]);
         state.log.write(DecisionEvent::Started, || {
             json!({
                 "version": env!("CARGO_PKG_VERSION"),
--- a/crates/papayastack/src/forward/tests/mod.rs
+++ b/crates/papayastack/src/forward/tests/mod.rs
@@ -4,6 +4,7 @@
 mod feeds;
 mod load;
 mod model;
+mod outages;
 mod plan;
 mod records;
 mod registry;
