Give the gateway's membership the regions of its settings

Cause: VMs probe the members of their own region. Gateway::bind did not hand the regions of its settings to the membership, so each data centre counted as a region; members of a region that is silent stay in the view. A VM alone in its data centre was never declared dead. Change: bind_without_list takes the regions, in force from the first datagram on.

--- a/crates/papayastack/src/forward/gateway.rs
+++ b/crates/papayastack/src/forward/gateway.rs
@@ -98,9 +98,14 @@
             state: MemberState::Live,
             configuration_version: 0,
         };
-        let membership = Membership::bind_without_list(own, MembershipSettings::default(), keyring)
-            .await
-            .change_context(GatewayError::Membership)?;
+        let membership = Membership::bind_without_list(
+            own,
+            MembershipSettings::default(),
+            settings.data_centres.clone(),
+            keyring,
+        )
+        .await
+        .change_context(GatewayError::Membership)?;
         let membership = Arc::new(membership);
         let state = Arc::new(ForwardState::new(settings, format, membership.view(), log));
         let settings = &state.settings;
--- a/crates/papayastack/src/membership/driver.rs
+++ b/crates/papayastack/src/membership/driver.rs
@@ -20,7 +20,7 @@
 use crate::settings::{DataCentreSettings, MembershipSettings, Settings};
 
 use super::protocol::{MEMBERSHIP_TICK, MembershipProtocol, Notice, ViewChange};
-use super::{Member, MemberView, MembershipCounts};
+use super::{Member, MemberView, MembershipCounts, VmIdentity};
 
 const LOG: &str = "papaya::membership";
 
@@ -101,25 +101,27 @@
         platform: Arc<dyn Platform>,
         keyring: Arc<Keyring>,
     ) -> Result<Self, Report<MembershipError>> {
-        Self::bind_optional(own, settings, Some(platform), keyring).await
+        Self::bind_optional(own, settings, BTreeMap::new(), Some(platform), keyring).await
     }
 
-    /// Binds like [`Self::bind`], without the platform's list: the only seeds are those of
-    /// [`Self::set_seeds`].
+    /// Binds like [`Self::bind`] with the `regions` of the data centres, without the platform's
+    /// list: the only seeds are those of [`Self::set_seeds`].
     ///
     /// # Errors
     /// Those of [`Self::bind`].
     pub async fn bind_without_list(
         own: Member,
         settings: MembershipSettings,
+        regions: BTreeMap<DataCentreName, RegionName>,
         keyring: Arc<Keyring>,
     ) -> Result<Self, Report<MembershipError>> {
-        Self::bind_optional(own, settings, None, keyring).await
+        Self::bind_optional(own, settings, regions, None, keyring).await
     }
 
     async fn bind_optional(
         own: Member,
         settings: MembershipSettings,
+        regions: BTreeMap<DataCentreName, RegionName>,
         platform: Option<Arc<dyn Platform>>,
         keyring: Arc<Keyring>,
     ) -> Result<Self, Report<MembershipError>> {
@@ -136,7 +138,11 @@
         let address = socket.local_addr().change_context(error)?;
         let mut own = own;
         own.identity.address = address;
-        Ok(Self::spawn(socket, own, settings, platform, keyring))
+        let identity = own.identity.clone();
+        let mut protocol =
+            MembershipProtocol::new(own, settings.clone(), rand::rng().random(), Instant::now());
+        protocol.configure(settings, regions);
+        Ok(Self::spawn(socket, identity, protocol, platform, keyring))
     }
 
     /// Returns the address for links and datagrams.
@@ -208,14 +214,11 @@
 
     fn spawn(
         socket: UdpSocket,
-        own: Member,
-        settings: MembershipSettings,
+        identity: VmIdentity,
+        protocol: MembershipProtocol,
         platform: Option<Arc<dyn Platform>>,
         keyring: Arc<Keyring>,
     ) -> Self {
-        let identity = own.identity.clone();
-        let now = Instant::now();
-        let protocol = MembershipProtocol::new(own, settings, rand::rng().random(), now);
         let (view_sender, view) = watch::channel(Arc::new(protocol.view()));
         let (commands, command_receiver) = mpsc::unbounded_channel();
         let (seed_sender, seeds) = mpsc::channel(1);
@@ -227,7 +230,7 @@
             sealer: DatagramSealer::new(Arc::clone(&keyring), identity.clone()),
             opener: DatagramOpener::new(keyring, identity.address),
             view: view_sender,
-            published_at: now,
+            published_at: Instant::now(),
             pending_change: ViewChange::None,
             notices: notice_sender,
             extra_seeds: Vec::new(),
