Do not name VMs of an unreachable region to callers

Cause: choose_addresses put members of unreachable regions last instead of leaving them out; nothing bounded how long. Change: they are left out. A caller who reaches this VM is served here; one beside the unreachable VMs asks those.

--- a/crates/papayastack/src/addresses/choice.rs
+++ b/crates/papayastack/src/addresses/choice.rs
@@ -40,8 +40,8 @@
 
 /// Chooses addresses for a caller: nearest first, in random order among equally near ones.
 ///
-/// Members that are leaving are left out. A busy VM comes first less often than an idle one.
-/// Members of a region that this VM cannot reach come last, since the caller may reach them.
+/// Members that are leaving are left out, and so are those of a region that this VM cannot reach:
+/// the view keeps them however long they are off. A busy VM comes first less often than an idle one.
 pub fn choose_addresses(
     view: &MemberView,
     query: &AddressQuery<'_>,
@@ -49,7 +49,8 @@
 ) -> AddressesAnswer {
     let mut ranked: Vec<(Nearness, f64, &Member)> = view
         .live()
-        .map(|member| (nearness(member, view, query), sampling_key(member, query, random), member))
+        .filter(|member| !is_unreachable(member, view, query))
+        .map(|member| (nearness(member, query), sampling_key(member, query, random), member))
         .collect();
     ranked.sort_by(|one, other| one.0.cmp(&other.0).then(one.1.total_cmp(&other.1)));
     let chosen = truncated(ranked.into_iter().map(|(_, _, member)| member).collect());
@@ -67,14 +68,16 @@
     DataCentre,
     Region,
     Elsewhere,
-    Unreachable,
 }
 
-fn nearness(member: &Member, view: &MemberView, query: &AddressQuery<'_>) -> Nearness {
+/// Tells whether no VM of the member's region answers.
+fn is_unreachable(member: &Member, view: &MemberView, query: &AddressQuery<'_>) -> bool {
+    let region = region_of(&member.data_centre, query);
+    region.is_some_and(|region| view.unreachable_regions.contains(region))
+}
+
+fn nearness(member: &Member, query: &AddressQuery<'_>) -> Nearness {
     let region = region_of(&member.data_centre, query);
-    if region.is_some_and(|region| view.unreachable_regions.contains(region)) {
-        return Nearness::Unreachable;
-    }
     let Some(preferred) = query.data_centre else { return Nearness::Elsewhere };
     if member.data_centre == preferred {
         return Nearness::DataCentre;
