Bound what a waiting watch is trusted for, on every feed

Cause: a watch that gets no answer cannot be told from one without changes until its wait is over, 27 s here. Watches that were open when the store fell silent waited on, and so did those sent into the silence. A hold of an upstream ended only with the watch after it. The retry gate missed an answer that came between a failed call and its wait. Change: after a failed call of any feed, watches do not wait, and for 5 s they wait 1 s; a long watch that was open meanwhile is given up. Where nothing was answered for 2.5 s the VM reads back its own record (allow_stale), and writes it again if it is gone. A hold ends on its own. The gate compares times instead of notifying.

--- a/crates/papayastack/src/forward/feeds.rs
+++ b/crates/papayastack/src/forward/feeds.rs
@@ -20,8 +20,6 @@
 use crate::observe::DecisionEvent;
 use crate::platform::{ListedState, ListedVm, PlatformError};
 
-/// How long one watch waits at the store; TCP keep-alive detects a dead connection earlier.
-const WATCH_WAIT: Duration = Duration::from_secs(25);
 /// The pause between two watches of upstreams, which batches changes: the platform charges for each
 /// call, and an upstream still serves for seconds after it announced that it is leaving.
 const UPSTREAMS_WATCH_PAUSE: Duration = Duration::from_millis(1_200);
@@ -39,6 +37,9 @@
 /// How long another VM may have newer routes in force before this VM lists them again; a working
 /// watch delivers them within that time.
 const BEHIND_PEERS_MAX: Duration = Duration::from_millis(600);
+/// The longest time without an answer of the store before this VM checks that it answers; longer
+/// silence may hide a lost answer to a watch. `allow_stale` makes the check a tenth of a call.
+const STORE_CHECK_INTERVAL: Duration = Duration::from_millis(2_500);
 /// The pause before the first list of VMs, in which all VMs that start together record themselves.
 const VM_LIST_PAUSE_INITIAL: Duration = Duration::from_millis(1_200);
 /// The longest pause between two lists of VMs while no other VM is known.
@@ -88,6 +89,7 @@
 
     fn call_failed(&mut self, error: &PlatformError) {
         self.state.metrics.store_call(self.feed, Some(error));
+        self.state.store_retry.call_failed(now());
         if self.lost_at.is_none() {
             self.lost_at = Some(Instant::now());
             self.state.log.write(DecisionEvent::StoreLost, || {
@@ -102,8 +104,8 @@
 
     fn call_answered(&mut self) {
         self.state.metrics.store_call(self.feed, None);
-        self.state.store_retry.call_answered();
         self.answered_at = now();
+        self.state.store_retry.call_answered(self.answered_at);
         self.state.record_feed_answer(self.feed, self.answered_at);
         if let Some(lost_at) = self.lost_at.take() {
             self.state.log.write(
@@ -113,6 +115,13 @@
         }
     }
 
+    /// Records a failed call and returns once the feed may call again.
+    async fn wait_after_failure(&mut self, error: &PlatformError, backoff: &mut Backoff) {
+        self.call_failed(error);
+        let pause = backoff.pause(error, self.state.is_ready());
+        self.state.store_retry.wait(pause, now()).await;
+    }
+
     /// Logs why the feed lists everything again.
     fn relisting(&self, reason: RelistReason) {
         self.state.log.write(DecisionEvent::FeedRelisted, || {
@@ -139,14 +148,17 @@
     BehindPeers,
 }
 
-/// Starts the feeds of routes and upstreams.
+/// Starts the feeds of routes and upstreams, and the task that keeps the record of this VM, whose
+/// address for other VMs is `address`.
 pub(crate) fn spawn_feeds(
     state: &Arc<ForwardState>,
     store: Arc<dyn FeedStore>,
+    address: VmAddress,
 ) -> Vec<JoinHandle<()>> {
     vec![
         tokio::spawn(follow_routes(Arc::clone(state), Arc::clone(&store))),
-        tokio::spawn(follow_upstreams(Arc::clone(state), store)),
+        tokio::spawn(follow_upstreams(Arc::clone(state), Arc::clone(&store))),
+        tokio::spawn(keep_vm_recorded(Arc::clone(state), store, address)),
     ]
 }
 
@@ -169,9 +181,8 @@
                 listing.revision
             }
             Err(error) => {
-                availability.call_failed(&error);
                 registry.store_failed(now());
-                state.store_retry.wait(backoff.pause(&error, state.is_ready())).await;
+                availability.wait_after_failure(&error, &mut backoff).await;
                 continue;
             }
         };
@@ -186,17 +197,22 @@
             }
             let events = registry.on_tick(now());
             publish_upstreams(&state, &registry, events);
-            let wait = registry
-                .next_wake()
-                .map_or(WATCH_WAIT, |wake| wake.saturating_duration_since(now()).min(WATCH_WAIT));
-            match store.watch_upstreams(revision, wait).await {
+            let (started, wait) = (now(), state.store_retry.watch_wait(now()));
+            let outcome = tokio::select! {
+                outcome = store.watch_upstreams(revision, wait) => outcome,
+                () = state.store_retry.watch_is_doubtful(started, wait) => continue,
+                () = sleep_until_some(registry.next_wake()) => {
+                    let events = registry.on_tick(now());
+                    publish_upstreams(&state, &registry, events);
+                    continue;
+                }
+            };
+            match outcome {
                 Ok(changes) => {
                     backoff.reset();
                     availability.call_answered();
                     revision = revision.max(changes.revision);
-                    let mut events = registry.on_changes(changes.changes, now());
-                    // The watch may have been shortened to end with the hold of an upstream.
-                    events.extend(registry.on_tick(now()));
+                    let events = registry.on_changes(changes.changes, now());
                     publish_upstreams(&state, &registry, events);
                 }
                 Err(PlatformError::HistoryGone) => {
@@ -204,15 +220,22 @@
                     break;
                 }
                 Err(error) => {
-                    availability.call_failed(&error);
                     registry.store_failed(now());
-                    state.store_retry.wait(backoff.pause(&error, state.is_ready())).await;
+                    availability.wait_after_failure(&error, &mut backoff).await;
                 }
             }
         }
     }
 }
 
+/// Sleeps until `wake`, for good if there is none.
+async fn sleep_until_some(wake: Option<Instant>) {
+    match wake {
+        Some(wake) => tokio::time::sleep_until(wake.into()).await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Returns the time of Tokio's clock, which tests can pause.
 fn now() -> Instant {
     tokio::time::Instant::now().into_std()
@@ -274,16 +297,16 @@
                 listing.revision
             }
             Err(error) => {
-                availability.call_failed(&error);
-                state.store_retry.wait(backoff.pause(&error, state.is_ready())).await;
+                availability.wait_after_failure(&error, &mut backoff).await;
                 continue;
             }
         };
         loop {
             sleep(ROUTES_WATCH_PAUSE).await;
-            let watch = store.watch_routes(revision, WATCH_WAIT);
+            let (started, wait) = (now(), state.store_retry.watch_wait(now()));
             let outcome = tokio::select! {
-                outcome = watch => outcome,
+                outcome = store.watch_routes(revision, wait) => outcome,
+                () = state.store_retry.watch_is_doubtful(started, wait) => continue,
                 // The watch or the store has lost a change that another VM has: lists again.
                 () = wait_until_behind_peers(&state) => {
                     availability.relisting(RelistReason::BehindPeers);
@@ -310,8 +333,7 @@
                     break;
                 }
                 Err(error) => {
-                    availability.call_failed(&error);
-                    state.store_retry.wait(backoff.pause(&error, state.is_ready())).await;
+                    availability.wait_after_failure(&error, &mut backoff).await;
                 }
             }
         }
@@ -380,25 +402,50 @@
     });
 }
 
-/// Records this VM in the store and finds the other VMs; lists them again only while none is known.
-pub(crate) async fn discover_vms(
-    state: Arc<ForwardState>,
-    store: Arc<dyn FeedStore>,
-    membership: Arc<Membership>,
-) {
+/// Records this VM in the store, so that other VMs find it, and reads the record back whenever the
+/// store has answered nothing for [`STORE_CHECK_INTERVAL`]. The feeds wait in watches most of the
+/// time and notice a store that lost their answers only by the failure of this check.
+async fn keep_vm_recorded(state: Arc<ForwardState>, store: Arc<dyn FeedStore>, address: VmAddress) {
     let mut backoff = Backoff::new();
-    let mut availability = StoreAvailability::new(&state, "vms");
+    let mut availability = StoreAvailability::new(&state, "record");
     let own = ListedVm {
-        address: membership.address(),
+        address,
         data_centre: state.settings.data_centre.clone(),
         entry_vm: true,
         state: ListedState::Live,
     };
-    while let Err(error) = store.register_vm(&own).await {
-        availability.call_failed(&error);
-        state.store_retry.wait(backoff.pause(&error, state.is_ready())).await;
+    loop {
+        while let Err(error) = store.register_vm(&own).await {
+            availability.wait_after_failure(&error, &mut backoff).await;
+        }
+        availability.call_answered();
+        backoff.reset();
+        let mut is_recorded = true;
+        while is_recorded {
+            let silent_at = state.store_retry.silent_at(STORE_CHECK_INTERVAL, now());
+            tokio::time::sleep_until(silent_at.into()).await;
+            if state.store_retry.answered_within(STORE_CHECK_INTERVAL, now()) {
+                continue;
+            }
+            match store.is_recorded(&own).await {
+                Ok(found) => {
+                    availability.call_answered();
+                    backoff.reset();
+                    is_recorded = found;
+                }
+                Err(error) => availability.wait_after_failure(&error, &mut backoff).await,
+            }
+        }
     }
-    availability.call_answered();
+}
+
+/// Finds the other VMs in the store's records; lists them again only while none is known.
+pub(crate) async fn discover_vms(
+    state: Arc<ForwardState>,
+    store: Arc<dyn FeedStore>,
+    membership: Arc<Membership>,
+) {
+    let mut availability = StoreAvailability::new(&state, "vms");
     let mut pause = VM_LIST_PAUSE_INITIAL;
     loop {
         let jitter = rand::rng().random_range(0.8..1.2);
--- a/crates/papayastack/src/forward/gateway.rs
+++ b/crates/papayastack/src/forward/gateway.rs
@@ -127,7 +127,7 @@
             .await
             .change_context(GatewayError::Bind { address: operator_address })?;
         membership.set_caller_address(caller_server.address());
-        let mut tasks = spawn_feeds(&state, Arc::clone(&store));
+        let mut tasks = spawn_feeds(&state, Arc::clone(&store), membership.address());
         tasks.extend([
             tokio::spawn(discover_vms(Arc::clone(&state), store, Arc::clone(&membership))),
             tokio::spawn(exchange_silence_notices(Arc::clone(&state), Arc::clone(&membership))),
--- a/crates/papayastack/src/forward/interface.rs
+++ b/crates/papayastack/src/forward/interface.rs
@@ -93,6 +93,10 @@
     /// Records this VM in the store so that other VMs find it; idempotent.
     async fn register_vm(&self, vm: &ListedVm) -> Result<(), PlatformError>;
 
+    /// Tells whether the store has a record of this VM; the answer may be seconds out of date, and
+    /// costs less than other calls.
+    async fn is_recorded(&self, vm: &ListedVm) -> Result<bool, PlatformError>;
+
     /// Lists all VMs that were ever recorded, whether they still run or not.
     async fn list_vms(&self) -> Result<Vec<ListedVm>, PlatformError>;
 }
--- a/crates/papayastack/src/forward/metrics.rs
+++ b/crates/papayastack/src/forward/metrics.rs
@@ -151,7 +151,7 @@
             drop(self.repeats.get_or_create(&KindLabels { kind }));
         }
         let result = platform_result_name(None);
-        for call in ["upstreams", "routes", "vms"] {
+        for call in ["upstreams", "routes", "record", "vms"] {
             drop(self.store_calls.get_or_create(&CallLabels { call, result }));
             drop(self.feed_ages.get_or_create(&FeedLabels { feed: call }));
         }
--- a/crates/papayastack/src/forward/state.rs
+++ b/crates/papayastack/src/forward/state.rs
@@ -80,7 +80,7 @@
             upstreams: watch::Sender::new(None),
             members,
             metrics: ForwardMetrics::new(),
-            store_retry: StoreRetryGate::default(),
+            store_retry: StoreRetryGate::new(),
             upstreams_needed: Notify::new(),
             silence_found: Notify::new(),
             drain_requested: watch::Sender::new(false),
--- a/crates/papayastack/src/forward/tests/feeds.rs
+++ b/crates/papayastack/src/forward/tests/feeds.rs
@@ -98,6 +98,10 @@
         Err(PlatformError::Unavailable)
     }
 
+    async fn is_recorded(&self, _: &ListedVm) -> Result<bool, PlatformError> {
+        Err(PlatformError::Unavailable)
+    }
+
     async fn list_vms(&self) -> Result<Vec<ListedVm>, PlatformError> {
         Err(PlatformError::Unavailable)
     }
--- a/crates/papayastack/src/forward/tests/outages.rs
+++ b/crates/papayastack/src/forward/tests/outages.rs
@@ -151,6 +151,10 @@
         self.answer(Duration::ZERO, Instant::now()).await
     }
 
+    async fn is_recorded(&self, _: &ListedVm) -> Result<bool, PlatformError> {
+        self.answer(Duration::ZERO, Instant::now()).await.map(|()| true)
+    }
+
     async fn list_vms(&self) -> Result<Vec<ListedVm>, PlatformError> {
         self.answer(Duration::ZERO, Instant::now()).await.map(|()| Vec::new())
     }
@@ -176,7 +180,7 @@
                     };
                     let due = (store.changes_at + APPLY_MAX).max(store.ends + CONTACT);
                     let state = state();
-                    let feeds = spawn_feeds(&state, Arc::new(store));
+                    let feeds = spawn_feeds(&state, Arc::new(store), state.settings.link_address);
 
                     sleep_until(due).await;
 
--- a/crates/papayastack/src/forward/tests/store_retry.rs
+++ b/crates/papayastack/src/forward/tests/store_retry.rs
@@ -6,6 +6,10 @@
 
 use crate::forward::store_retry::StoreRetryGate;
 
+fn now() -> std::time::Instant {
+    tokio::time::Instant::now().into_std()
+}
+
 /// Starts a feed whose calls all fail; returns its counter of calls.
 fn failing_feed(gate: &Arc<StoreRetryGate>) -> Arc<AtomicU32> {
     let calls = Arc::new(AtomicU32::new(0));
@@ -13,7 +17,7 @@
     tokio::spawn(async move {
         loop {
             counted.fetch_add(1, Ordering::Relaxed);
-            gate.wait(Duration::from_millis(500)).await;
+            gate.wait(Duration::from_millis(500), now()).await;
         }
     });
     calls
@@ -21,7 +25,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn only_one_feed_retries_a_store_that_failed() {
-    let gate = Arc::new(StoreRetryGate::default());
+    let gate = Arc::new(StoreRetryGate::new());
     let feeds = [failing_feed(&gate), failing_feed(&gate), failing_feed(&gate)];
 
     tokio::time::sleep(Duration::from_millis(9_900)).await;
@@ -34,19 +38,35 @@
 
 #[tokio::test(start_paused = true)]
 async fn the_other_feeds_continue_once_a_call_is_answered() {
-    let gate = Arc::new(StoreRetryGate::default());
+    let gate = Arc::new(StoreRetryGate::new());
     let retrying = failing_feed(&gate);
     tokio::task::yield_now().await;
     let started = tokio::time::Instant::now();
     let waiting = tokio::spawn({
         let gate = Arc::clone(&gate);
-        async move { gate.wait(Duration::from_secs(60)).await }
+        async move { gate.wait(Duration::from_secs(60), now()).await }
     });
     tokio::time::sleep(Duration::from_millis(100)).await;
 
-    gate.call_answered();
+    gate.call_answered(now());
 
     waiting.await.unwrap();
     assert_eq!(started.elapsed(), Duration::from_millis(100));
     assert_eq!(retrying.load(Ordering::Relaxed), 1);
 }
+
+// Guards against a feed that waits for an answer which came between its failed call and its wait.
+#[tokio::test(start_paused = true)]
+async fn an_answer_between_the_failure_and_the_wait_is_not_missed() {
+    let gate = Arc::new(StoreRetryGate::new());
+    let _retrying = failing_feed(&gate);
+    tokio::task::yield_now().await;
+    let failed_at = now();
+    tokio::time::sleep(Duration::from_millis(10)).await;
+    gate.call_answered(now());
+    let started = tokio::time::Instant::now();
+
+    gate.wait(Duration::from_secs(60), failed_at).await;
+
+    assert_eq!(started.elapsed(), Duration::ZERO);
+}
