Follow the store's era: read anew what it lost and distrust what an older copy brings back

A feed that goes on from its revision misses what was written before that revision came round: routes that were acknowledged are never in force. An upstream that left without a word and was removed is back in the list, and would get requests. Cause: a position was a revision alone, taken as the highest seen; nothing read the header Store-Era. Change: a position has an era. A later era in any answer, that of the check of the own record included, makes every feed list again, and the VM write its record again. An answer of an earlier era counts as lost. Routes still only rise.

--- a/crates/papayastack/src/forward/feeds.rs
+++ b/crates/papayastack/src/forward/feeds.rs
@@ -8,10 +8,11 @@
 use papayastack_macros::closed_set;
 use rand::Rng;
 use serde_json::json;
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
-use super::interface::{Change, FeedStore, Freshness, NamedEntry, StoreRevision};
+use super::interface::{Change, FeedStore, Freshness, NamedEntry, StoreEra, StorePosition};
 use super::registry::{Registry, RegistryEvent};
 use super::route::{RouteDocument, RouteTable};
 use super::state::ForwardState;
@@ -40,6 +41,8 @@
 /// The longest time without an answer of the store before this VM checks that it answers; longer
 /// silence may hide a lost answer to a watch. `allow_stale` makes the check a tenth of a call.
 const STORE_CHECK_INTERVAL: Duration = Duration::from_millis(2_500);
+/// The longest pause before this VM writes its record again to a store back from an older copy.
+const RECORD_JITTER_MAX: Duration = Duration::from_millis(500);
 /// The pause before the first list of VMs, in which all VMs that start together record themselves.
 const VM_LIST_PAUSE_INITIAL: Duration = Duration::from_millis(1_200);
 /// The longest pause between two lists of VMs while no other VM is known.
@@ -146,6 +149,10 @@
     HistoryGone,
     /// Another VM has a later version.
     BehindPeers,
+    /// The store came back from an older copy.
+    StoreReset,
+    /// Entries of an older copy may have been updated since.
+    OlderEntries,
 }
 
 /// Starts the feeds of routes and upstreams, and the task that keeps the record of this VM, whose
@@ -170,15 +177,21 @@
     // The first list may lag, since the watch after it delivers what it lacks. Later lists replace
     // a history of changes that the store no longer has, so they must be current.
     let mut freshness = Freshness::MayLag;
+    let mut eras = store.eras();
+    let mut era_before = None;
     loop {
-        let mut revision = match store.list_upstreams(freshness).await {
+        let mut position = match store.list_upstreams(freshness).await {
             Ok(listing) => {
                 backoff.reset();
                 availability.call_answered();
+                let era = listing.position.era;
+                if era_before.replace(era).is_some_and(|before| before != era) {
+                    registry.store_reset(now());
+                }
                 let events = registry.on_list(listing.entries, now());
                 publish_upstreams(&state, &registry, events);
                 freshness = Freshness::Current;
-                listing.revision
+                listing.position
             }
             Err(error) => {
                 registry.store_failed(now());
@@ -199,19 +212,31 @@
             publish_upstreams(&state, &registry, events);
             let (started, wait) = (now(), state.store_retry.watch_wait(now()));
             let outcome = tokio::select! {
-                outcome = store.watch_upstreams(revision, wait) => outcome,
+                outcome = store.watch_upstreams(position.revision, wait) => outcome,
                 () = state.store_retry.watch_is_doubtful(started, wait) => continue,
                 () = sleep_until_some(registry.next_wake()) => {
                     let events = registry.on_tick(now());
                     publish_upstreams(&state, &registry, events);
                     continue;
                 }
+                () = wait_for_later_era(&mut eras, position.era) => {
+                    availability.relisting(RelistReason::StoreReset);
+                    break;
+                }
+                () = sleep_until_some(registry.recheck_at()) => {
+                    availability.relisting(RelistReason::OlderEntries);
+                    break;
+                }
             };
             match outcome {
                 Ok(changes) => {
                     backoff.reset();
                     availability.call_answered();
-                    revision = revision.max(changes.revision);
+                    if changes.position.era != position.era {
+                        availability.relisting(RelistReason::StoreReset);
+                        break;
+                    }
+                    position.revision = position.revision.max(changes.position.revision);
                     let events = registry.on_changes(changes.changes, now());
                     publish_upstreams(&state, &registry, events);
                 }
@@ -228,6 +253,14 @@
     }
 }
 
+/// Returns once the store has come back from an older copy since `era`.
+async fn wait_for_later_era(eras: &mut watch::Receiver<StoreEra>, era: StoreEra) {
+    if eras.wait_for(|newest| *newest > era).await.is_err() {
+        // The store's client has ended, and the process is about to stop.
+        std::future::pending::<()>().await;
+    }
+}
+
 /// Sleeps until `wake`, for good if there is none.
 async fn sleep_until_some(wake: Option<Instant>) {
     match wake {
@@ -286,15 +319,16 @@
 pub(crate) async fn follow_routes(state: Arc<ForwardState>, store: Arc<dyn FeedStore>) {
     let mut backoff = Backoff::new();
     let mut availability = StoreAvailability::new(&state, "routes");
+    let mut eras = store.eras();
     loop {
-        let mut revision = match store.list_routes().await {
+        let mut position = match store.list_routes().await {
             Ok(listing) => {
                 backoff.reset();
                 availability.call_answered();
                 for entry in listing.entries {
-                    apply_routes(&state, entry, RoutesSource::List, listing.revision);
+                    apply_routes(&state, entry, RoutesSource::List, listing.position);
                 }
-                listing.revision
+                listing.position
             }
             Err(error) => {
                 availability.wait_after_failure(&error, &mut backoff).await;
@@ -305,8 +339,12 @@
             sleep(ROUTES_WATCH_PAUSE).await;
             let (started, wait) = (now(), state.store_retry.watch_wait(now()));
             let outcome = tokio::select! {
-                outcome = store.watch_routes(revision, wait) => outcome,
+                outcome = store.watch_routes(position.revision, wait) => outcome,
                 () = state.store_retry.watch_is_doubtful(started, wait) => continue,
+                () = wait_for_later_era(&mut eras, position.era) => {
+                    availability.relisting(RelistReason::StoreReset);
+                    break;
+                }
                 // The watch or the store has lost a change that another VM has: lists again.
                 () = wait_until_behind_peers(&state) => {
                     availability.relisting(RelistReason::BehindPeers);
@@ -317,11 +355,15 @@
                 Ok(changes) => {
                     backoff.reset();
                     availability.call_answered();
-                    revision = revision.max(changes.revision);
+                    if changes.position.era != position.era {
+                        availability.relisting(RelistReason::StoreReset);
+                        break;
+                    }
+                    position.revision = position.revision.max(changes.position.revision);
                     for change in changes.changes {
                         match change {
                             Change::Put(entry) => {
-                                apply_routes(&state, entry, RoutesSource::Watch, revision);
+                                apply_routes(&state, entry, RoutesSource::Watch, position);
                             }
                             // The routes in force stay until a later version replaces them.
                             Change::Removed { .. } => {}
@@ -372,7 +414,7 @@
     state: &ForwardState,
     entry: NamedEntry<RouteDocument>,
     source: RoutesSource,
-    store_revision: StoreRevision,
+    position: StorePosition,
 ) {
     let in_force = state.routes.borrow().as_ref().map(|table| table.document().version);
     let document = match entry.content {
@@ -397,7 +439,8 @@
             "earlier_version": in_force,
             "routes": routes,
             "source": source,
-            "store_revision": store_revision,
+            "store_era": position.era,
+                "store_revision": position.revision,
         })
     });
 }
@@ -414,7 +457,9 @@
         entry_vm: true,
         state: ListedState::Live,
     };
+    let mut eras = store.eras();
     loop {
+        let era = *eras.borrow_and_update();
         while let Err(error) = store.register_vm(&own).await {
             availability.wait_after_failure(&error, &mut backoff).await;
         }
@@ -423,7 +468,15 @@
         let mut is_recorded = true;
         while is_recorded {
             let silent_at = state.store_retry.silent_at(STORE_CHECK_INTERVAL, now());
-            tokio::time::sleep_until(silent_at.into()).await;
+            tokio::select! {
+                () = tokio::time::sleep_until(silent_at.into()) => {}
+                () = wait_for_later_era(&mut eras, era) => {
+                    // Jitter keeps the VMs from writing their records all at once.
+                    let jitter = rand::rng().random_range(0.0..1.0);
+                    sleep(RECORD_JITTER_MAX.mul_f64(jitter)).await;
+                    break;
+                }
+            }
             if state.store_retry.answered_within(STORE_CHECK_INTERVAL, now()) {
                 continue;
             }
--- a/crates/papayastack/src/forward/interface.rs
+++ b/crates/papayastack/src/forward/interface.rs
@@ -6,6 +6,7 @@
 use axum::http::{HeaderName, Uri};
 use bytes::Bytes;
 use papayastack_macros::{closed_set, value};
+use tokio::sync::watch;
 
 use super::registry::UpstreamEntry;
 use super::route::RouteDocument;
@@ -15,6 +16,21 @@
 /// A revision of the whole store: a counter that grows with every change.
 pub type StoreRevision = u64;
 
+/// The number of times that the store came back from an older copy; zero if it does not say.
+///
+/// Revisions of one era are not comparable with those of another: the store gives them out again.
+pub type StoreEra = u64;
+
+/// A point in the history of the store.
+#[value]
+#[derive(Copy)]
+pub struct StorePosition {
+    /// The era of the revision.
+    pub era: StoreEra,
+    /// The revision within the era.
+    pub revision: StoreRevision,
+}
+
 /// The names of the HTTP headers that forwarding reads and writes.
 #[value]
 pub struct HeaderNames {
@@ -67,6 +83,9 @@
 /// Access to the platform's store; the platform charges for every call.
 #[async_trait]
 pub trait FeedStore: Send + Sync + 'static {
+    /// Returns a receiver of the newest era that any answer named.
+    fn eras(&self) -> watch::Receiver<StoreEra>;
+
     /// Lists the upstreams.
     async fn list_upstreams(
         &self,
@@ -106,7 +125,7 @@
 pub enum Freshness {
     /// The list holds every write that was acknowledged before the call.
     Current,
-    /// The list may be seconds out of date, as of [`Listing::revision`], and costs less.
+    /// The list may be seconds out of date, as of [`Listing::position`], and costs less.
     MayLag,
 }
 
@@ -115,8 +134,8 @@
 pub struct Listing<T> {
     /// The entries, including those whose content cannot be used.
     pub entries: Vec<NamedEntry<T>>,
-    /// The revision of the store that the list shows.
-    pub revision: StoreRevision,
+    /// The position of the store that the list shows.
+    pub position: StorePosition,
 }
 
 /// The changes of a kind up to a revision, oldest first.
@@ -124,8 +143,8 @@
 pub struct Changes<T> {
     /// The changes.
     pub changes: Vec<Change<T>>,
-    /// The revision up to which the changes are complete.
-    pub revision: StoreRevision,
+    /// The position up to which the changes are complete.
+    pub position: StorePosition,
 }
 
 /// One change of an entry in the store.
--- a/crates/papayastack/src/forward/registry.rs
+++ b/crates/papayastack/src/forward/registry.rs
@@ -125,6 +125,13 @@
     free_indices: BTreeSet<UpstreamIndex>,
     next_index: UpstreamIndex,
     store_failed_at: Option<Instant>,
+    /// The start time and sequence number of the entries of removed upstreams that were in the first
+    /// list after the store came back from an older copy; later updates are used.
+    older_copy: BTreeMap<UpstreamId, (u64, u64)>,
+    /// Whether the next list is the first one after the store came back from an older copy.
+    lists_older_copy: bool,
+    /// When a list is due that shows which entries of the older copy are still updated.
+    recheck_at: Option<Instant>,
     version: u64,
 }
 
@@ -134,6 +141,21 @@
         self.store_failed_at = Some(now);
     }
 
+    /// Records that the store came back from an older copy. What is missing there is held, since it
+    /// is written again; removed upstreams whose entries are back are not used until they are
+    /// updated.
+    pub(crate) fn store_reset(&mut self, now: Instant) {
+        self.store_failed_at = Some(now);
+        self.lists_older_copy = true;
+        self.recheck_at = None;
+    }
+
+    /// Returns when another list is due, since entries of the older copy may belong to upstreams
+    /// that still run.
+    pub(crate) fn recheck_at(&self) -> Option<Instant> {
+        self.recheck_at
+    }
+
     /// Tells whether a call to the store failed recently, so that missing entries are held.
     pub(crate) fn store_failed_recently(&self, now: Instant) -> bool {
         self.store_failed_at
@@ -148,6 +170,11 @@
     ) -> Vec<RegistryEvent> {
         let named: BTreeSet<UpstreamId> = entries.iter().map(|named| named.name.clone()).collect();
         let mut events = Vec::new();
+        self.recheck_at = None;
+        if std::mem::take(&mut self.lists_older_copy) {
+            self.distrust_removed(&entries);
+            self.recheck_at = (!self.older_copy.is_empty()).then(|| now + MISSING_ENTRY_HOLD);
+        }
         for entry in entries {
             self.put(entry, now, &mut events);
         }
@@ -245,6 +272,14 @@
             events.push(RegistryEvent::Ignored { id, detail });
             return;
         }
+        if let Some(copied) = self.older_copy.get(&id) {
+            if (entry.started_unix_ms, entry.sequence) <= *copied {
+                let detail = "the entry may be from an older copy of the store".to_owned();
+                events.push(RegistryEvent::Ignored { id, detail });
+                return;
+            }
+            self.older_copy.remove(&id);
+        }
         self.removed.remove(&id);
         let restarted = self.known.get(&id).is_some_and(|known| {
             known.entry.address != entry.address
@@ -274,6 +309,17 @@
         }
     }
 
+    /// Remembers the entries of removed upstreams in a list that may be from an older copy.
+    fn distrust_removed(&mut self, entries: &[NamedEntry<UpstreamEntry>]) {
+        let removed = &self.removed;
+        let update = |named: &NamedEntry<UpstreamEntry>| {
+            let entry = named.content.as_ref().ok()?;
+            let was_removed = removed.contains_key(&named.name);
+            was_removed.then(|| (named.name.clone(), (entry.started_unix_ms, entry.sequence)))
+        };
+        self.older_copy = entries.iter().filter_map(update).collect();
+    }
+
     /// Drops a removed entry; holds a ready upstream instead if the store failed recently.
     fn on_removed(&mut self, id: &str, now: Instant, events: &mut Vec<RegistryEvent>) {
         let Some(known) = self.known.get(id) else { return };
--- a/crates/papayastack/src/forward/tests/feeds.rs
+++ b/crates/papayastack/src/forward/tests/feeds.rs
@@ -17,7 +17,7 @@
 use crate::forward::state::ForwardState;
 use crate::forward::{
     CallerLocation, Changes, FeedStore, Freshness, GatewaySettings, HeaderNames, IngressFormat,
-    Listing, RepeatSettings, RouteDocument, StoreRevision, UpstreamEntry,
+    Listing, RepeatSettings, RouteDocument, StoreEra, StorePosition, StoreRevision, UpstreamEntry,
 };
 use crate::membership::MemberView;
 use crate::observe::DecisionLog;
@@ -53,14 +53,19 @@
 /// A store that fails the first watch, answers the second one, and removes the upstream `one` right
 /// after that.
 struct StoreThatRemovesOne {
+    eras: watch::Sender<StoreEra>,
     watches: AtomicU32,
     removed_at: watch::Sender<Option<Instant>>,
 }
 
 #[async_trait]
 impl FeedStore for StoreThatRemovesOne {
+    fn eras(&self) -> watch::Receiver<StoreEra> {
+        self.eras.subscribe()
+    }
+
     async fn list_upstreams(&self, _: Freshness) -> Result<Listing<UpstreamEntry>, PlatformError> {
-        Ok(Listing { entries: vec![named("one", entry("board", 1))], revision: 1 })
+        Ok(Listing { entries: vec![named("one", entry("board", 1))], position: position(1) })
     }
 
     async fn watch_upstreams(
@@ -72,12 +77,12 @@
             0 => Err(PlatformError::Unavailable),
             1 => {
                 self.removed_at.send_replace(Some(Instant::now()));
-                Ok(Changes { changes: Vec::new(), revision: after })
+                Ok(Changes { changes: Vec::new(), position: position(after) })
             }
-            2 => Ok(Changes { changes: vec![removed("one")], revision: after + 1 }),
+            2 => Ok(Changes { changes: vec![removed("one")], position: position(after + 1) }),
             _ => {
                 sleep(wait).await;
-                Ok(Changes { changes: Vec::new(), revision: after })
+                Ok(Changes { changes: Vec::new(), position: position(after) })
             }
         }
     }
@@ -107,6 +112,11 @@
     }
 }
 
+/// Returns a position in the only era of a store.
+pub(super) fn position(revision: StoreRevision) -> StorePosition {
+    StorePosition { era: 0, revision }
+}
+
 pub(super) fn state() -> Arc<ForwardState> {
     let address = ([127, 0, 0, 1], 0).into();
     let settings = GatewaySettings {
@@ -149,7 +159,11 @@
 async fn an_upstream_removed_after_a_store_failure_is_dropped_while_it_still_serves() {
     let state = state();
     let (removed_at, mut removals) = watch::channel(None);
-    let store = Arc::new(StoreThatRemovesOne { watches: AtomicU32::new(0), removed_at });
+    let store = Arc::new(StoreThatRemovesOne {
+        eras: watch::Sender::new(0),
+        watches: AtomicU32::new(0),
+        removed_at,
+    });
     let mut upstreams = state.upstreams.subscribe();
     let feed = tokio::spawn(follow_upstreams(Arc::clone(&state), store));
     let removed_at: Instant = removals.wait_for(Option::is_some).await.unwrap().unwrap();
--- a/crates/papayastack/src/forward/tests/outages.rs
+++ b/crates/papayastack/src/forward/tests/outages.rs
@@ -4,16 +4,17 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use tokio::sync::watch;
 use tokio::time::{Instant, sleep, sleep_until};
 
-use super::feeds::state;
+use super::feeds::{position, state};
 use super::registry::{entry, named};
 use super::routes::{document, route};
 use crate::forward::feeds::spawn_feeds;
 use crate::forward::state::ForwardState;
 use crate::forward::{
-    Change, Changes, FeedStore, Freshness, Listing, RouteDocument, StoreRevision, UpstreamEntry,
-    UpstreamState,
+    Change, Changes, FeedStore, Freshness, Listing, RouteDocument, StoreEra, StoreRevision,
+    UpstreamEntry, UpstreamState,
 };
 use crate::platform::{ListedVm, PlatformError};
 
@@ -45,6 +46,7 @@
 
 /// A store with one outage and one change: version 2 of the routes, and an upstream that leaves.
 struct Store {
+    eras: watch::Sender<StoreEra>,
     outage: Outage,
     begins: Instant,
     ends: Instant,
@@ -113,10 +115,14 @@
 
 #[async_trait]
 impl FeedStore for Store {
+    fn eras(&self) -> watch::Receiver<StoreEra> {
+        self.eras.subscribe()
+    }
+
     async fn list_upstreams(&self, _: Freshness) -> Result<Listing<UpstreamEntry>, PlatformError> {
         self.answer(Duration::ZERO, Instant::now()).await?;
         let entries = vec![named("one", self.upstream())];
-        Ok(Listing { entries, revision: self.revision() })
+        Ok(Listing { entries, position: position(self.revision()) })
     }
 
     async fn watch_upstreams(
@@ -127,13 +133,13 @@
         let changed = self.watch(after, wait).await?;
         let change = || Change::Put(named("one", self.upstream()));
         let changes = changed.then(change).into_iter().collect();
-        Ok(Changes { changes, revision: self.revision() })
+        Ok(Changes { changes, position: position(self.revision()) })
     }
 
     async fn list_routes(&self) -> Result<Listing<RouteDocument>, PlatformError> {
         self.answer(Duration::ZERO, Instant::now()).await?;
         let entries = vec![named("main", routes(self.revision()))];
-        Ok(Listing { entries, revision: self.revision() })
+        Ok(Listing { entries, position: position(self.revision()) })
     }
 
     async fn watch_routes(
@@ -144,7 +150,7 @@
         let changed = self.watch(after, wait).await?;
         let change = || Change::Put(named("main", routes(self.revision())));
         let changes = changed.then(change).into_iter().collect();
-        Ok(Changes { changes, revision: self.revision() })
+        Ok(Changes { changes, position: position(self.revision()) })
     }
 
     async fn register_vm(&self, _: &ListedVm) -> Result<(), PlatformError> {
@@ -173,6 +179,7 @@
                     let begins = Instant::now() + ms(begins_ms);
                     let changes_ms = begins_ms.saturating_add_signed(change_offset_ms);
                     let store = Store {
+                        eras: watch::Sender::new(0),
                         outage,
                         begins,
                         ends: begins + ms(length_ms as u64),
--- a/crates/papayastack/src/forward/tests/registry.rs
+++ b/crates/papayastack/src/forward/tests/registry.rs
@@ -125,3 +125,41 @@
     assert!(usable(&registry).is_empty());
     assert_eq!(registry.next_wake(), None);
 }
+
+// Guards against an upstream that leaves without a word, is removed, and comes back to use with the
+// entry that an older copy of the store still holds.
+#[test]
+fn an_entry_of_a_removed_upstream_in_an_older_copy_is_not_used_until_it_is_updated() {
+    let now = Instant::now();
+    let mut registry = registry(now);
+    registry.on_changes(vec![removed("one")], now);
+    // Updates that change nothing but the sequence number are not announced.
+    let copied = UpstreamEntry { sequence: 9, ..entry("board", 1) };
+    let listing = vec![named("one", copied.clone()), named("two", entry("board", 2))];
+
+    registry.store_reset(now);
+    registry.on_list(listing.clone(), now);
+    assert_eq!(usable(&registry), ["two"]);
+    let recheck_at = registry.recheck_at().expect("another list is due");
+    registry.on_list(listing, recheck_at);
+    assert_eq!(usable(&registry), ["two"]);
+
+    let updated = UpstreamEntry { sequence: 10, ..copied };
+    registry.on_changes(vec![Change::Put(named("one", updated))], recheck_at);
+    assert_eq!(usable(&registry), ["one", "two"]);
+}
+
+// Guards against upstreams that are dropped because an older copy of the store lacks their entries,
+// which they write again.
+#[test]
+fn an_upstream_that_an_older_copy_lacks_is_held() {
+    let now = Instant::now();
+    let mut registry = registry(now);
+
+    registry.store_reset(now);
+    registry.on_list(vec![named("two", entry("board", 2))], now);
+    assert_eq!(usable(&registry), ["one", "two"]);
+    registry.on_tick(now + Duration::from_millis(2_500));
+
+    assert_eq!(usable(&registry), ["two"]);
+}
--- a/crates/papayastack/src/lib.rs
+++ b/crates/papayastack/src/lib.rs
@@ -76,7 +76,7 @@
     CallerLimits, CallerLocation, Change, Changes, EntryFault, FeedStore, Freshness, Gateway,
     GatewayError, GatewaySettings, HeaderNames, IngressFormat, Listing, NamedEntry, PinnedRoute,
     RepeatSettings, RequestKind, Route, RouteDocument, RouteTable, RouteTarget, ServiceEntry,
-    ShardTarget, SplitPart, StoreRevision, UpstreamEntry, UpstreamState,
+    ShardTarget, SplitPart, StoreEra, StorePosition, StoreRevision, UpstreamEntry, UpstreamState,
 };
 pub use ids::{
     AttemptId, DataCentreName, Incarnation, QueryId, RegionName, ServiceName, ShardId, SiteName,
