Send retries, hedges and queued attempts only to upstreams that are still used

Cause: a request keeps the set of upstreams that it started with, for as long as it waits. Retries and hedges chose from that set, and an upstream that was dropped had lost the note that it leaves with its observations, so that it looked idle. Nothing looked again once a connection was open, and connections of removed upstreams went back to the pool. Change: each attempt asks whether its upstream is in the current set as the same process, when it is chosen and right before each sending; otherwise it counts as not sent and another replica is tried without a charge. A connection goes back to the pool only for an upstream that is still used.

--- a/crates/papayastack/src/forward/attempt.rs
+++ b/crates/papayastack/src/forward/attempt.rs
@@ -9,8 +9,9 @@
 
 use super::interface::HeaderNames;
 use super::registry::UpstreamTarget;
+use super::state::ForwardState;
 use crate::query::{AttemptOutcome, FailureReason, NotRunReason, UpstreamLoad};
-use crate::upstream::{ConnectionPool, ExchangeError};
+use crate::upstream::ExchangeError;
 
 /// The largest body of a reply in bytes; a larger one counts as malformed.
 const REPLY_BODY_MAX_BYTES: usize = 8 * 1024 * 1024;
@@ -64,8 +65,7 @@
 
 /// One attempt that is about to be made.
 pub(crate) struct Attempt<'a> {
-    pub(crate) pool: &'a ConnectionPool,
-    pub(crate) names: &'a HeaderNames,
+    pub(crate) state: &'a ForwardState,
     pub(crate) request: &'a CallerRequest,
     pub(crate) target: &'a UpstreamTarget,
     /// The largest number of connections that this VM may open to the target.
@@ -86,8 +86,14 @@
     }
 
     async fn exchange(&self) -> AttemptEnd {
-        let Self { pool, names, request, target, connections_max, .. } = *self;
-        let exchanged = pool.exchange(target.address, connections_max, self.outgoing_request());
+        let Self { state, request, target, connections_max, .. } = *self;
+        let names = state.format.headers();
+        let exchanged = state.pool.exchange(
+            target.address,
+            connections_max,
+            self.outgoing_request(names),
+            || state.is_current(target),
+        );
         let (response, lease) = match exchanged.await {
             Ok(replied) => replied,
             Err(error) => return end_without_reply(error),
@@ -104,14 +110,16 @@
                 return AttemptEnd::new(lost, format!("the reply's body ended early: {error}"));
             }
         };
-        lease.release(&head.headers);
+        if state.is_current(target) {
+            lease.release(&head.headers);
+        }
         let load = parse_load(names, &head.headers);
         let reply = UpstreamReply { status: head.status, headers: head.headers, body, load };
         AttemptEnd { load, ..classify_reply(names, reply) }
     }
 
-    fn outgoing_request(&self) -> Request<Full<Bytes>> {
-        let Self { names, request, target, .. } = *self;
+    fn outgoing_request(&self, names: &HeaderNames) -> Request<Full<Bytes>> {
+        let Self { request, target, .. } = *self;
         let remaining = self.deadline.saturating_duration_since(Instant::now());
         let path = request.uri.path_and_query().map_or("/", |path| path.as_str());
         let mut outgoing = Request::new(Full::new(request.body.clone()));
@@ -172,6 +180,10 @@
             AttemptOutcome::NotRun(NotRunReason::QueueFull),
             "all connections to the upstream are in use",
         ),
+        ExchangeError::Withdrawn => AttemptEnd::new(
+            AttemptOutcome::NotRun(NotRunReason::UnknownUpstream),
+            "the upstream left before the request was sent",
+        ),
         ExchangeError::AnswerLost { detail } => {
             AttemptEnd::new(AttemptOutcome::Failed(FailureReason::AnswerLost), detail)
         }
--- a/crates/papayastack/src/forward/exchange.rs
+++ b/crates/papayastack/src/forward/exchange.rs
@@ -211,9 +211,11 @@
     }
 
     fn send(&mut self, id: AttemptId, upstream: UpstreamIndex) {
-        let Some(target) = self.task.upstreams.by_index.get(&upstream).cloned() else {
+        let target = self.task.upstreams.by_index.get(&upstream).cloned();
+        // Retries and hedges come later than the set of upstreams that the request started with.
+        let Some(target) = target.filter(|target| self.task.state.is_current(target)) else {
             let gone = AttemptOutcome::NotRun(NotRunReason::UnknownUpstream);
-            let end = AttemptEnd::new(gone, "the upstream is not known");
+            let end = AttemptEnd::new(gone, "the upstream is no longer used");
             self.run_attempt(Box::pin(async move { (id, upstream, end) }));
             return;
         };
@@ -223,8 +225,7 @@
         let deadline = self.deadline;
         self.run_attempt(Box::pin(async move {
             let attempt = Attempt {
-                pool: &state.pool,
-                names: state.format.headers(),
+                state: &state,
                 request: &request,
                 target: &target,
                 connections_max,
--- a/crates/papayastack/src/forward/registry.rs
+++ b/crates/papayastack/src/forward/registry.rs
@@ -62,6 +62,17 @@
     pub(crate) address: SocketAddr,
     pub(crate) data_centre: DataCentreName,
     pub(crate) slots: u32,
+    /// The start of the upstream's process, in milliseconds of Unix time; zero if unknown.
+    pub(crate) started_unix_ms: u64,
+}
+
+impl UpstreamTarget {
+    /// Tells whether `other` is the same process at the same address.
+    pub(crate) fn is_same_process(&self, other: &Self) -> bool {
+        self.id == other.id
+            && self.address == other.address
+            && self.started_unix_ms == other.started_unix_ms
+    }
 }
 
 /// The usable upstreams at one moment.
@@ -242,6 +253,7 @@
                 address: known.entry.address,
                 data_centre: known.entry.data_centre.clone(),
                 slots: known.entry.slots,
+                started_unix_ms: known.entry.started_unix_ms,
             };
             set.by_service.entry(target.service.clone()).or_default().push(known.index);
             set.by_id.insert(target.id.clone(), known.index);
--- a/crates/papayastack/src/forward/state.rs
+++ b/crates/papayastack/src/forward/state.rs
@@ -12,7 +12,7 @@
 use super::interface::IngressFormat;
 use super::metrics::ForwardMetrics;
 use super::plan::replicas_of;
-use super::registry::UpstreamSet;
+use super::registry::{UpstreamSet, UpstreamTarget};
 use super::route::{Route, RouteTable, SplitPart};
 use super::settings::GatewaySettings;
 use super::store_retry::StoreRetryGate;
@@ -108,6 +108,13 @@
         answered_at.iter().map(|(feed, at)| (*feed, at.elapsed())).collect()
     }
 
+    /// Tells whether an upstream of an earlier set is in the current one.
+    pub(crate) fn is_current(&self, target: &UpstreamTarget) -> bool {
+        let upstreams = self.upstreams.borrow();
+        let current = upstreams.as_ref().and_then(|set| set.by_index.get(&target.index));
+        current.is_some_and(|current| current.is_same_process(target))
+    }
+
     /// Tells whether this VM should get callers' requests.
     pub(crate) fn is_ready(&self) -> bool {
         !self.leaving.load(Ordering::Acquire)
--- a/crates/papayastack/src/upstream/pool.rs
+++ b/crates/papayastack/src/upstream/pool.rs
@@ -76,6 +76,8 @@
     },
     /// All connections that this VM may have to the upstream are in use; nothing was sent.
     NoConnectionFree,
+    /// The request was withdrawn before it was sent.
+    Withdrawn,
     /// The request may have been sent, but no response came.
     AnswerLost {
         /// A readable description of the failure.
@@ -100,18 +102,23 @@
     /// Sends a request and waits for the head of the response.
     ///
     /// A request that was certainly not sent on a reused connection, because the connection had
-    /// closed, is sent on another one.
+    /// closed, is sent on another one. `may_send` is asked right before each sending, since opening
+    /// a connection takes time.
     pub(crate) async fn exchange(
         &self,
         address: SocketAddr,
         connections_max: u32,
         mut request: Request<Full<Bytes>>,
+        may_send: impl Fn() -> bool,
     ) -> Result<(Response<Incoming>, Lease), ExchangeError> {
         loop {
             let (mut lease, reused) = match self.take_idle(address) {
                 Some(lease) => (lease, true),
                 None => (self.connect(address, connections_max).await?, false),
             };
+            if !may_send() {
+                return Err(ExchangeError::Withdrawn);
+            }
             let connection = lease.connection.as_mut().expect("a new lease holds a connection");
             match connection.sender.try_send_request(request).await {
                 Ok(response) => return Ok((response, lease)),
