Heed Server-Leaving in upstreams' replies

Cause: only the store's entries decided which upstreams are used. Change: the head of a reply to this request with Server-Leaving takes the upstream's process out of use at once, whatever its entry says; only a later start brings the id back. Replies with 421 come from another upstream and say nothing of this one. The registry is shared by the feed and the requests for that.

--- a/crates/papayastack/src/forward/attempt.rs
+++ b/crates/papayastack/src/forward/attempt.rs
@@ -103,6 +103,7 @@
             // The reply is to an earlier request; dropping the lease closes the connection.
             return malformed("the reply carries the id of another request");
         }
+        state.heed_reply(target, head.status, &head.headers);
         let body = match Limited::new(body, REPLY_BODY_MAX_BYTES).collect().await {
             Ok(body) => body.to_bytes(),
             Err(error) => {
--- a/crates/papayastack/src/forward/feeds.rs
+++ b/crates/papayastack/src/forward/feeds.rs
@@ -13,7 +13,6 @@
 use tokio::time::{sleep, timeout};
 
 use super::interface::{Change, FeedStore, Freshness, NamedEntry, StoreEra, StorePosition};
-use super::registry::{Registry, RegistryEvent};
 use super::route::{RouteDocument, RouteTable};
 use super::state::ForwardState;
 use crate::ids::VmAddress;
@@ -171,7 +170,6 @@
 
 /// Lists and watches the upstreams until the task is aborted.
 pub(crate) async fn follow_upstreams(state: Arc<ForwardState>, store: Arc<dyn FeedStore>) {
-    let mut registry = Registry::default();
     let mut backoff = Backoff::new();
     let mut availability = StoreAvailability::new(&state, "upstreams");
     // The first list may lag, since the watch after it delivers what it lacks. Later lists replace
@@ -186,15 +184,14 @@
                 availability.call_answered();
                 let era = listing.position.era;
                 if era_before.replace(era).is_some_and(|before| before != era) {
-                    registry.store_reset(now());
+                    state.registry().store_reset(now());
                 }
-                let events = registry.on_list(listing.entries, now());
-                publish_upstreams(&state, &registry, events);
+                state.update_registry(|registry| registry.on_list(listing.entries, now()));
                 freshness = Freshness::Current;
                 listing.position
             }
             Err(error) => {
-                registry.store_failed(now());
+                state.registry().store_failed(now());
                 availability.wait_after_failure(&error, &mut backoff).await;
                 continue;
             }
@@ -204,26 +201,29 @@
             sleep(UPSTREAMS_WATCH_PAUSE_SHORT).await;
             // After a failure the pause stays short: the upstream of a removed entry is used for
             // some time longer, so the removal must be noticed soon.
-            if !registry.store_failed_recently(now()) {
+            let failed_recently = state.registry().store_failed_recently(now());
+            if !failed_recently {
                 // Ends early if a request found a service without upstreams.
                 let _ = timeout(UPSTREAMS_WATCH_PAUSE - UPSTREAMS_WATCH_PAUSE_SHORT, needed).await;
             }
-            let events = registry.on_tick(now());
-            publish_upstreams(&state, &registry, events);
+            state.update_registry(|registry| registry.on_tick(now()));
+            let (next_wake, recheck_at) = {
+                let registry = state.registry();
+                (registry.next_wake(), registry.recheck_at())
+            };
             let (started, wait) = (now(), state.store_retry.watch_wait(now()));
             let outcome = tokio::select! {
                 outcome = store.watch_upstreams(position.revision, wait) => outcome,
                 () = state.store_retry.watch_is_doubtful(started, wait) => continue,
-                () = sleep_until_some(registry.next_wake()) => {
-                    let events = registry.on_tick(now());
-                    publish_upstreams(&state, &registry, events);
+                () = sleep_until_some(next_wake) => {
+                    state.update_registry(|registry| registry.on_tick(now()));
                     continue;
                 }
                 () = wait_for_later_era(&mut eras, position.era) => {
                     availability.relisting(RelistReason::StoreReset);
                     break;
                 }
-                () = sleep_until_some(registry.recheck_at()) => {
+                () = sleep_until_some(recheck_at) => {
                     availability.relisting(RelistReason::OlderEntries);
                     break;
                 }
@@ -237,15 +237,14 @@
                         break;
                     }
                     position.revision = position.revision.max(changes.position.revision);
-                    let events = registry.on_changes(changes.changes, now());
-                    publish_upstreams(&state, &registry, events);
+                    state.update_registry(|registry| registry.on_changes(changes.changes, now()));
                 }
                 Err(PlatformError::HistoryGone) => {
                     availability.relisting(RelistReason::HistoryGone);
                     break;
                 }
                 Err(error) => {
-                    registry.store_failed(now());
+                    state.registry().store_failed(now());
                     availability.wait_after_failure(&error, &mut backoff).await;
                 }
             }
@@ -274,47 +273,6 @@
     tokio::time::Instant::now().into_std()
 }
 
-fn publish_upstreams(state: &ForwardState, registry: &Registry, events: Vec<RegistryEvent>) {
-    let old = state.upstreams.borrow().clone();
-    if old.as_ref().is_none_or(|old| old.version != registry.version()) {
-        let set = registry.set();
-        let mut decisions = state.decisions();
-        for (index, target) in old.iter().flat_map(|old| &old.by_index) {
-            if !set.by_index.contains_key(index) {
-                decisions.forget_upstream(*index);
-                state.pool.close_idle(target.address);
-            }
-        }
-        for (index, target) in &set.by_index {
-            decisions.set_remote(*index, target.data_centre != state.settings.data_centre);
-        }
-        drop(decisions);
-        state.upstreams.send_replace(Some(Arc::new(set)));
-    }
-    for event in events {
-        log_registry_event(state, &event);
-    }
-}
-
-fn log_registry_event(state: &ForwardState, event: &RegistryEvent) {
-    match event {
-        RegistryEvent::Usable(id) => {
-            state.log.write(DecisionEvent::UpstreamUsable, || json!({ "upstream": id }));
-        }
-        RegistryEvent::Unusable { id, reason } => {
-            let fields = || json!({ "upstream": id, "reason": reason });
-            state.log.write(DecisionEvent::UpstreamUnusable, fields);
-        }
-        RegistryEvent::Held(id) => {
-            state.log.write(DecisionEvent::UpstreamHeld, || json!({ "upstream": id }));
-        }
-        RegistryEvent::Ignored { id, detail } => {
-            let fields = || json!({ "upstream": id, "detail": detail });
-            state.log.write(DecisionEvent::UpstreamIgnored, fields);
-        }
-    }
-}
-
 /// Lists and watches the routes until the task is aborted.
 pub(crate) async fn follow_routes(state: Arc<ForwardState>, store: Arc<dyn FeedStore>) {
     let mut backoff = Backoff::new();
--- a/crates/papayastack/src/forward/interface.rs
+++ b/crates/papayastack/src/forward/interface.rs
@@ -46,6 +46,8 @@
     pub seal: HeaderName,
     /// The load of an upstream: its running requests, waiting requests and slots.
     pub load: HeaderName,
+    /// Marks, with the value 1, the replies of an upstream that is leaving.
+    pub leaving: HeaderName,
     /// Marks a reply of an upstream that did not run the request.
     pub not_run: HeaderName,
     /// The seals of all parts of a merged answer.
--- a/crates/papayastack/src/forward/registry.rs
+++ b/crates/papayastack/src/forward/registry.rs
@@ -7,8 +7,11 @@
 
 use papayastack_macros::{closed_set, value};
 
+use serde_json::json;
+
 use super::interface::{Change, NamedEntry};
 use crate::ids::{DataCentreName, ServiceName, UpstreamId};
+use crate::observe::{DecisionEvent, DecisionLog};
 use crate::routing::UpstreamIndex;
 
 /// How long an upstream stays usable after its entry went missing, if the store failed recently.
@@ -106,11 +109,35 @@
     Ignored { id: UpstreamId, detail: String },
 }
 
+impl RegistryEvent {
+    /// Writes the event to the decision log.
+    pub(crate) fn write_to(&self, log: &DecisionLog) {
+        match self {
+            Self::Usable(id) => {
+                log.write(DecisionEvent::UpstreamUsable, || json!({ "upstream": id }));
+            }
+            Self::Unusable { id, reason } => {
+                let fields = || json!({ "upstream": id, "reason": reason });
+                log.write(DecisionEvent::UpstreamUnusable, fields);
+            }
+            Self::Held(id) => {
+                log.write(DecisionEvent::UpstreamHeld, || json!({ "upstream": id }));
+            }
+            Self::Ignored { id, detail } => {
+                let fields = || json!({ "upstream": id, "detail": detail });
+                log.write(DecisionEvent::UpstreamIgnored, fields);
+            }
+        }
+    }
+}
+
 /// Why an upstream is not used.
 #[closed_set]
 pub(crate) enum UnusableReason {
-    /// The upstream announced that it is leaving.
+    /// The upstream's entry says that it is leaving.
     Leaving,
+    /// The upstream said in a reply that it is leaving.
+    LeavingReply,
     /// The upstream's entry was removed.
     Removed,
     /// The upstream's entry cannot be decoded.
@@ -133,6 +160,8 @@
     /// The start time and sequence number of the newest update of each removed upstream, and when
     /// it was removed.
     removed: BTreeMap<UpstreamId, (u64, u64, Instant)>,
+    /// The start time of each upstream that said in a reply that it is leaving.
+    leaving: BTreeMap<UpstreamId, u64>,
     free_indices: BTreeSet<UpstreamIndex>,
     next_index: UpstreamIndex,
     store_failed_at: Option<Instant>,
@@ -197,6 +226,19 @@
         events
     }
 
+    /// Records that an upstream said in a reply that it is leaving. Its process is not used again,
+    /// whatever its entry says.
+    pub(crate) fn on_leaving_reply(&mut self, target: &UpstreamTarget) -> Vec<RegistryEvent> {
+        let Some(known) = self.known.get(&target.id) else { return Vec::new() };
+        if known.entry.started_unix_ms != target.started_unix_ms || !self.is_usable(&target.id) {
+            return Vec::new();
+        }
+        self.leaving.insert(target.id.clone(), target.started_unix_ms);
+        self.version += 1;
+        let reason = UnusableReason::LeavingReply;
+        vec![RegistryEvent::Unusable { id: target.id.clone(), reason }]
+    }
+
     /// Applies changes in the given order, oldest first.
     pub(crate) fn on_changes(
         &mut self,
@@ -226,6 +268,8 @@
             self.drop_known(&id, UnusableReason::Removed, now, &mut events);
         }
         self.removed.retain(|_, (.., at)| now.saturating_duration_since(*at) < REMOVED_RETENTION);
+        let (known, removed) = (&self.known, &self.removed);
+        self.leaving.retain(|id, _| known.contains_key(id) || removed.contains_key(id));
         events
     }
 
@@ -243,7 +287,7 @@
     pub(crate) fn set(&self) -> UpstreamSet {
         let mut set = UpstreamSet { version: self.version, ..UpstreamSet::default() };
         for (id, known) in &self.known {
-            if known.entry.state != UpstreamState::Ready {
+            if !self.is_usable(id) {
                 continue;
             }
             let target = UpstreamTarget {
@@ -303,14 +347,13 @@
             self.drop_known(&id, UnusableReason::Removed, now, events);
             self.removed.remove(&id);
         }
-        let was_usable =
-            self.known.get(&id).is_some_and(|known| known.entry.state == UpstreamState::Ready);
-        let usable = entry.state == UpstreamState::Ready;
+        let was_usable = self.is_usable(&id);
         let index = match self.known.get(&id) {
             Some(known) => known.index,
             None => self.allocate_index(),
         };
         self.known.insert(id.clone(), KnownUpstream { index, entry, held_until: None });
+        let usable = self.is_usable(&id);
         if usable != was_usable {
             self.version += 1;
             events.push(if usable {
@@ -338,7 +381,7 @@
         if known.held_until.is_some() {
             return;
         }
-        if !self.store_failed_recently(now) || known.entry.state != UpstreamState::Ready {
+        if !self.store_failed_recently(now) || !self.is_usable(id) {
             self.drop_known(id, UnusableReason::Removed, now, events);
             return;
         }
@@ -355,16 +398,25 @@
         now: Instant,
         events: &mut Vec<RegistryEvent>,
     ) {
+        let was_usable = self.is_usable(id);
         let Some(known) = self.known.remove(id) else { return };
         self.free_indices.insert(known.index);
         let update = (known.entry.started_unix_ms, known.entry.sequence, now);
         self.removed.insert(id.to_owned(), update);
-        if known.entry.state == UpstreamState::Ready {
+        if was_usable {
             self.version += 1;
             events.push(RegistryEvent::Unusable { id: id.to_owned(), reason });
         }
     }
 
+    /// Tells whether a known upstream may get requests.
+    fn is_usable(&self, id: &str) -> bool {
+        self.known.get(id).is_some_and(|known| {
+            known.entry.state == UpstreamState::Ready
+                && self.leaving.get(id) != Some(&known.entry.started_unix_ms)
+        })
+    }
+
     /// Returns the start time and sequence number of the newest update of an upstream.
     fn newest_update(&self, id: &str) -> Option<(u64, u64)> {
         let known =
--- a/crates/papayastack/src/forward/state.rs
+++ b/crates/papayastack/src/forward/state.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
+use axum::http::{HeaderMap, StatusCode};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use tokio::sync::{Notify, watch};
@@ -12,7 +13,7 @@
 use super::interface::IngressFormat;
 use super::metrics::ForwardMetrics;
 use super::plan::replicas_of;
-use super::registry::{UpstreamSet, UpstreamTarget};
+use super::registry::{Registry, RegistryEvent, UpstreamSet, UpstreamTarget};
 use super::route::{Route, RouteTable, SplitPart};
 use super::settings::GatewaySettings;
 use super::store_retry::StoreRetryGate;
@@ -54,6 +55,7 @@
     /// Set later than `leaving`: from then on, new requests are refused.
     pub(crate) refuses_requests: AtomicBool,
     pub(crate) log: Arc<DecisionLog>,
+    registry: Mutex<Registry>,
     decisions: Mutex<ForwardDecisions>,
     /// When the store last answered a call of each feed.
     feed_answered_at: Mutex<BTreeMap<&'static str, Instant>>,
@@ -87,6 +89,7 @@
             leaving: AtomicBool::new(false),
             refuses_requests: AtomicBool::new(false),
             log,
+            registry: Mutex::default(),
             decisions: Mutex::new(ForwardDecisions::new(random)),
             feed_answered_at: Mutex::default(),
         }
@@ -108,6 +111,40 @@
         answered_at.iter().map(|(feed, at)| (*feed, at.elapsed())).collect()
     }
 
+    /// Applies an update to the registry and puts the resulting set of upstreams in use.
+    pub(crate) fn update_registry(&self, update: impl FnOnce(&mut Registry) -> Vec<RegistryEvent>) {
+        let mut registry = self.registry();
+        let events = update(&mut registry);
+        self.publish_upstreams(&registry);
+        drop(registry);
+        events.iter().for_each(|event| event.write_to(&self.log));
+    }
+
+    /// Locks the registry of upstreams.
+    pub(crate) fn registry(&self) -> MutexGuard<'_, Registry> {
+        lock(&self.registry)
+    }
+
+    fn publish_upstreams(&self, registry: &Registry) {
+        let old = self.upstreams.borrow().clone();
+        if old.as_ref().is_some_and(|old| old.version == registry.version()) {
+            return;
+        }
+        let set = registry.set();
+        let mut decisions = self.decisions();
+        for (index, target) in old.iter().flat_map(|old| &old.by_index) {
+            if !set.by_index.contains_key(index) {
+                decisions.forget_upstream(*index);
+                self.pool.close_idle(target.address);
+            }
+        }
+        for (index, target) in &set.by_index {
+            decisions.set_remote(*index, target.data_centre != self.settings.data_centre);
+        }
+        drop(decisions);
+        self.upstreams.send_replace(Some(Arc::new(set)));
+    }
+
     /// Tells whether an upstream of an earlier set is in the current one.
     pub(crate) fn is_current(&self, target: &UpstreamTarget) -> bool {
         let upstreams = self.upstreams.borrow();
@@ -115,6 +152,22 @@
         current.is_some_and(|current| current.is_same_process(target))
     }
 
+    /// Heeds what an upstream says of itself in the head of a reply.
+    pub(crate) fn heed_reply(
+        &self,
+        target: &UpstreamTarget,
+        status: StatusCode,
+        headers: &HeaderMap,
+    ) {
+        // With status 421, another upstream replies.
+        if status == StatusCode::MISDIRECTED_REQUEST {
+            return;
+        }
+        if headers.get(&self.format.headers().leaving).is_some_and(|value| value == "1") {
+            self.update_registry(|registry| registry.on_leaving_reply(target));
+        }
+    }
+
     /// Tells whether this VM should get callers' requests.
     pub(crate) fn is_ready(&self) -> bool {
         !self.leaving.load(Ordering::Acquire)
--- a/crates/papayastack/src/forward/tests/feeds.rs
+++ b/crates/papayastack/src/forward/tests/feeds.rs
@@ -142,6 +142,7 @@
         upstream_id: name("upstream"),
         seal: name("seal"),
         load: name("load"),
+        leaving: name("leaving"),
         not_run: name("not-run"),
         part_seals: name("seals"),
         parts_missing: name("missing"),
