Heed the time that an upstream names with its 503

Cause: a 503 that was not run made other replicas preferred for 10 ms; Retry-After was not read. Change: the upstream is not chosen until that time is over, and an attempt that was already chosen is withdrawn. A request whose upstreams all want nothing is refused at once, with the time after which enough of them do. upstream_refuses logs it.

--- a/crates/papayastack/src/forward/attempt.rs
+++ b/crates/papayastack/src/forward/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt at one upstream: sends the request and classifies the reply by what it proves.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use axum::http::{HeaderMap, HeaderValue, Method, StatusCode, Uri, header};
 use bytes::Bytes;
@@ -15,6 +15,8 @@
 
 /// The largest body of a reply in bytes; a larger one counts as malformed.
 const REPLY_BODY_MAX_BYTES: usize = 8 * 1024 * 1024;
+/// The longest time for which an upstream's refusal is heeded.
+const REFUSAL_MAX: Duration = Duration::from_secs(3_600);
 /// Hop-by-hop headers, which are not forwarded.
 const CONNECTION_HEADERS: [&str; 8] = [
     "connection",
@@ -92,7 +94,7 @@
             target.address,
             connections_max,
             self.outgoing_request(names),
-            || state.is_current(target),
+            || state.may_send_to(target, Instant::now()),
         );
         let (response, lease) = match exchanged.await {
             Ok(replied) => replied,
@@ -103,7 +105,7 @@
             // The reply is to an earlier request; dropping the lease closes the connection.
             return malformed("the reply carries the id of another request");
         }
-        state.heed_reply(target, head.status, &head.headers);
+        state.heed_reply(target, head.status, &head.headers, Instant::now());
         let body = match Limited::new(body, REPLY_BODY_MAX_BYTES).collect().await {
             Ok(body) => body.to_bytes(),
             Err(error) => {
@@ -183,7 +185,7 @@
         ),
         ExchangeError::Withdrawn => AttemptEnd::new(
             AttemptOutcome::NotRun(NotRunReason::UnknownUpstream),
-            "the upstream left before the request was sent",
+            "the upstream left or refused before the request was sent",
         ),
         ExchangeError::AnswerLost { detail } => {
             AttemptEnd::new(AttemptOutcome::Failed(FailureReason::AnswerLost), detail)
@@ -191,6 +193,14 @@
     }
 }
 
+/// Returns for how long an upstream that refuses a request with status 503 wants no other one.
+pub(crate) fn refusal_duration(status: StatusCode, headers: &HeaderMap) -> Option<Duration> {
+    let text =
+        headers.get(header::RETRY_AFTER).filter(|_| status == StatusCode::SERVICE_UNAVAILABLE)?;
+    let seconds: f64 = text.to_str().ok()?.trim().parse().ok()?;
+    Duration::try_from_secs_f64(seconds).ok().map(|duration| duration.min(REFUSAL_MAX))
+}
+
 /// Returns a copy of the headers without the hop-by-hop ones.
 pub(crate) fn end_to_end_headers(headers: &HeaderMap) -> HeaderMap {
     let named: Vec<String> = headers
--- a/crates/papayastack/src/forward/ingress.rs
+++ b/crates/papayastack/src/forward/ingress.rs
@@ -138,15 +138,12 @@
     if shards.iter().any(|shard| shard.replicas.is_empty()) {
         state.upstreams_needed.notify_waiters();
     }
-    let unservable = match &route.target {
-        RouteTarget::Service(_) | RouteTarget::Split(_) => {
-            shards.iter().all(|shard| shard.replicas.is_empty())
-        }
-        RouteTarget::Shards(target) => {
-            let covered = shards.iter().filter(|shard| !shard.replicas.is_empty()).count();
-            covered < target.covered_min()
-        }
+    let shards_min = match &route.target {
+        RouteTarget::Service(_) | RouteTarget::Split(_) => 1,
+        RouteTarget::Shards(target) => target.covered_min(),
     };
+    let known = shards.iter().filter(|shard| !shard.replicas.is_empty()).count();
+    let unservable = known < shards_min;
     if unservable || deadline <= Instant::now() {
         let detail = if unservable {
             "too few upstreams are known for the route"
@@ -155,6 +152,15 @@
         };
         return not_run(RETRY_AFTER, detail.to_owned());
     }
+    let mut refused = state.decisions().refused_shards(&shards, Instant::now());
+    if known - refused.len() < shards_min {
+        refused.sort_unstable();
+        // Enough shards take requests again once the soonest ones that are still lacking do.
+        let lacking = shards_min - (known - refused.len());
+        let retry_after = refused.get(lacking - 1).copied().unwrap_or(RETRY_AFTER);
+        let detail = "the upstreams want no request for a time".to_owned();
+        return not_run(retry_after.max(RETRY_AFTER), detail);
+    }
     let permit = match AdmissionPermit::acquire(state, route, &services) {
         Ok(permit) => permit,
         Err(retry_after) => {
--- a/crates/papayastack/src/forward/state.rs
+++ b/crates/papayastack/src/forward/state.rs
@@ -8,8 +8,10 @@
 use axum::http::{HeaderMap, StatusCode};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use serde_json::json;
 use tokio::sync::{Notify, watch};
 
+use super::attempt::refusal_duration;
 use super::interface::IngressFormat;
 use super::metrics::ForwardMetrics;
 use super::plan::replicas_of;
@@ -20,7 +22,7 @@
 use crate::admission::Admission;
 use crate::ids::{DataCentreName, RegionName, ServiceName, VmAddress};
 use crate::membership::MemberView;
-use crate::observe::DecisionLog;
+use crate::observe::{DecisionEvent, DecisionLog};
 use crate::query::{
     Budgets, FanoutContext, Observations, QuantileTracker, SilenceHold, UpstreamLoad,
 };
@@ -152,17 +154,31 @@
         current.is_some_and(|current| current.is_same_process(target))
     }
 
+    /// Tells whether a request may be sent to an upstream of an earlier set.
+    pub(crate) fn may_send_to(&self, target: &UpstreamTarget, now: Instant) -> bool {
+        self.is_current(target) && !self.decisions().is_refusing(target.index, now)
+    }
+
     /// Heeds what an upstream says of itself in the head of a reply.
     pub(crate) fn heed_reply(
         &self,
         target: &UpstreamTarget,
         status: StatusCode,
         headers: &HeaderMap,
+        now: Instant,
     ) {
         // With status 421, another upstream replies.
         if status == StatusCode::MISDIRECTED_REQUEST {
             return;
         }
+        if let Some(duration) = refusal_duration(status, headers)
+            && self.is_current(target)
+        {
+            self.decisions().record_refusal(target.index, now + duration);
+            let fields =
+                || json!({ "upstream": target.id, "refuses_ms": duration.as_millis() as u64 });
+            self.log.write(DecisionEvent::UpstreamRefuses, fields);
+        }
         if headers.get(&self.format.headers().leaving).is_some_and(|value| value == "1") {
             self.update_registry(|registry| registry.on_leaving_reply(target));
         }
@@ -257,6 +273,23 @@
         self.observations.record_load(upstream, load, now);
     }
 
+    /// Records that an upstream wants no request of this VM until a time.
+    pub(crate) fn record_refusal(&mut self, upstream: UpstreamIndex, until: Instant) {
+        self.observations.record_refusal(upstream, until);
+    }
+
+    /// Tells whether an upstream wants no request of this VM at present.
+    pub(crate) fn is_refusing(&self, upstream: UpstreamIndex, now: Instant) -> bool {
+        self.observations.is_refusing(upstream, now)
+    }
+
+    /// Returns the shards of which no replica takes requests, with the time until one does.
+    pub(crate) fn refused_shards(&self, shards: &[ShardReplicas], now: Instant) -> Vec<Duration> {
+        let until =
+            |shard: &ShardReplicas| self.observations.all_refusing_until(&shard.replicas, now);
+        shards.iter().filter_map(until).map(|until| until - now).collect()
+    }
+
     /// Records another VM's report that an upstream is silent.
     pub(crate) fn record_silence_report(
         &mut self,
--- a/crates/papayastack/src/observe/decisions.rs
+++ b/crates/papayastack/src/observe/decisions.rs
@@ -40,6 +40,8 @@
     UpstreamHeld,
     /// An upstream is avoided for a limited time, since several VMs found it silent.
     UpstreamSilent,
+    /// An upstream refused a request and wants no other one for a time.
+    UpstreamRefuses,
     /// The store's entry of an upstream was ignored.
     UpstreamIgnored,
     /// The store stopped answering.
@@ -66,7 +68,7 @@
 
 impl DecisionEvent {
     /// All kinds.
-    pub const ALL: [Self; 21] = [
+    pub const ALL: [Self; 22] = [
         Self::Started,
         Self::Stopping,
         Self::Stopped,
@@ -77,6 +79,7 @@
         Self::UpstreamUnusable,
         Self::UpstreamHeld,
         Self::UpstreamSilent,
+        Self::UpstreamRefuses,
         Self::UpstreamIgnored,
         Self::StoreLost,
         Self::StoreRegained,
@@ -95,7 +98,10 @@
     fn lines_per_second_max(self) -> u32 {
         match self {
             Self::RequestServed => 2,
-            Self::RequestLate | Self::RequestPartial | Self::UpstreamSilent => 10,
+            Self::RequestLate
+            | Self::RequestPartial
+            | Self::UpstreamSilent
+            | Self::UpstreamRefuses => 10,
             Self::UpstreamUsable | Self::UpstreamUnusable => 100,
             _ => 40,
         }
--- a/crates/papayastack/src/query/health.rs
+++ b/crates/papayastack/src/query/health.rs
@@ -79,6 +79,8 @@
     ejected_until: Option<Instant>,
     shed_until: Option<Instant>,
     leaving_until: Option<Instant>,
+    /// Until when the upstream wants no request of this VM.
+    refusing_until: Option<Instant>,
     queue_hint: u32,
     queue_hint_until: Option<Instant>,
     /// Until when the upstream's last report of waiting requests is valid.
@@ -104,7 +106,7 @@
 
     /// Chooses a replica and returns its position, or `None` if no replica may be used.
     ///
-    /// Positions in `tried` and leaving replicas are never chosen. Ejected replicas are chosen only
+    /// Positions in `tried`, leaving and refusing replicas are never chosen. Ejected replicas are chosen only
     /// if no other is left, so that ejection never leaves a shard without replicas.
     ///
     /// `scarcity` is the used share of the hedges and retries, from 0 to 1. The higher it is, the
@@ -118,9 +120,12 @@
         random: &mut impl Rng,
     ) -> Option<usize> {
         let untried = |position: &usize| !tried.contains(position);
-        let not_leaving = |position: &usize| !self.is_leaving(replicas[*position], now);
+        let takes_requests = |position: &usize| {
+            let upstream = replicas[*position];
+            !self.is_leaving(upstream, now) && !self.is_refusing(upstream, now)
+        };
         let mut best = None;
-        let usable = (0..replicas.len()).filter(untried).filter(not_leaving);
+        let usable = (0..replicas.len()).filter(untried).filter(takes_requests);
         for position in usable {
             let (rank, load) = self.rank(replicas[position], scarcity, now);
             // Random weights between 1 and 2 keep VMs from all choosing the same upstream.
@@ -266,6 +271,29 @@
             .is_some_and(|record| in_future(record.leaving_until, now))
     }
 
+    /// Records that an upstream wants no request of this VM until a time.
+    pub fn record_refusal(&mut self, upstream: UpstreamIndex, until: Instant) {
+        let record = self.record(upstream);
+        record.refusing_until = record.refusing_until.max(Some(until));
+    }
+
+    /// Tells whether an upstream wants no request of this VM at present.
+    pub fn is_refusing(&self, upstream: UpstreamIndex, now: Instant) -> bool {
+        self.refusing_until(upstream).is_some_and(|until| until > now)
+    }
+
+    /// Returns when the first of `replicas` takes requests again; `None` if one takes them now or
+    /// there is none.
+    pub fn all_refusing_until(&self, replicas: &[UpstreamIndex], now: Instant) -> Option<Instant> {
+        let until =
+            |upstream: &UpstreamIndex| self.refusing_until(*upstream).filter(|until| *until > now);
+        replicas.iter().map(until).collect::<Option<Vec<Instant>>>()?.into_iter().min()
+    }
+
+    fn refusing_until(&self, upstream: UpstreamIndex) -> Option<Instant> {
+        self.records.get(upstream as usize)?.refusing_until
+    }
+
     /// Tells whether an upstream is ejected.
     pub fn is_ejected(&self, upstream: UpstreamIndex, now: Instant) -> bool {
         self.records
@@ -318,6 +346,7 @@
             ejected_until: None,
             shed_until: None,
             leaving_until: None,
+            refusing_until: None,
             queue_hint: 0,
             queue_hint_until: None,
             queue_reported_until: None,
