Put the store's era into the versions of objects

A conditional update names a revision; after the store came back from an older copy the same revision may belong to other content, and the update replaces it. A watch or a comparison of versions from before goes on as if nothing had happened. Cause: the version of an object was its revision alone. Change: the upper 16 bits of a version hold the era. An update or deletion from an earlier era conflicts without a call; one whose answer is the first of a new era counts as lost, so that the caller reads what is there; a watch from an earlier era reads the object. Platform::eras lets the product's own modules notice. A store that sends no Store-Era keeps the versions that it has. Evidence and result: a_version_from_before_an_older_copy_matches_nothing_after_it passes; a revision alone would have replaced the other content.

--- a/crates/papayastack-standin/src/platform/tests.rs
+++ b/crates/papayastack-standin/src/platform/tests.rs
@@ -117,6 +117,29 @@
     assert_eq!(store.revision(), copied + 1);
 }
 
+// Guards against an update that replaces other content because the store has given the revision of
+// its precondition out again.
+#[tokio::test]
+async fn a_version_from_before_an_older_copy_matches_nothing_after_it() {
+    let (standin, client) = bind_with_client().await;
+    let name = object_name();
+    client.update(&name, Precondition::Absent, json!(1)).await.unwrap();
+    let copied_at = Instant::now();
+    tokio::time::sleep(Duration::from_millis(5)).await;
+    let first = client.read(&name).await.unwrap().version;
+    let lost = client.update(&name, Precondition::Version(first), json!(2)).await.unwrap();
+
+    standin.restore_copy(copied_at.elapsed());
+    standin.put_object(&name, json!(3));
+    let late = client.update(&name, Precondition::Version(lost), json!(4)).await;
+
+    // The first answer of the new era cannot say what the update replaced.
+    assert_eq!(late, Err(PlatformError::AnswerLost));
+    let again = client.update(&name, Precondition::Version(lost), json!(5)).await;
+    assert_eq!(again, Err(PlatformError::Conflict));
+    assert!(client.read(&name).await.unwrap().version > lost);
+}
+
 #[tokio::test]
 async fn a_watch_returns_the_next_version_or_nothing() {
     let (standin, client) = bind_with_client().await;
--- a/crates/papayastack/src/forward/feeds.rs
+++ b/crates/papayastack/src/forward/feeds.rs
@@ -12,13 +12,13 @@
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
-use super::interface::{Change, FeedStore, Freshness, NamedEntry, StoreEra, StorePosition};
+use super::interface::{Change, FeedStore, Freshness, NamedEntry, StorePosition};
 use super::route::{RouteDocument, RouteTable};
 use super::state::ForwardState;
 use crate::ids::VmAddress;
 use crate::membership::Membership;
 use crate::observe::DecisionEvent;
-use crate::platform::{ListedState, ListedVm, PlatformError};
+use crate::platform::{ListedState, ListedVm, PlatformError, StoreEra};
 
 /// The pause between two watches of upstreams, which batches changes: the platform charges for each
 /// call, and an upstream still serves for seconds after it announced that it is leaving.
@@ -253,8 +253,8 @@
 }
 
 /// Returns once the store has come back from an older copy since `era`.
-async fn wait_for_later_era(eras: &mut watch::Receiver<StoreEra>, era: StoreEra) {
-    if eras.wait_for(|newest| *newest > era).await.is_err() {
+async fn wait_for_later_era(eras: &mut watch::Receiver<Option<StoreEra>>, era: StoreEra) {
+    if eras.wait_for(|newest| newest.is_some_and(|newest| newest > era)).await.is_err() {
         // The store's client has ended, and the process is about to stop.
         std::future::pending::<()>().await;
     }
@@ -417,10 +417,10 @@
     };
     let mut eras = store.eras();
     loop {
-        let era = *eras.borrow_and_update();
         while let Err(error) = store.register_vm(&own).await {
             availability.wait_after_failure(&error, &mut backoff).await;
         }
+        let era = eras.borrow_and_update().unwrap_or_default();
         availability.call_answered();
         backoff.reset();
         let mut is_recorded = true;
--- a/crates/papayastack/src/forward/interface.rs
+++ b/crates/papayastack/src/forward/interface.rs
@@ -11,16 +11,11 @@
 use super::registry::UpstreamEntry;
 use super::route::RouteDocument;
 use crate::caller::AddressesAnswer;
-use crate::platform::{ListedVm, PlatformError};
+use crate::platform::{ListedVm, PlatformError, StoreEra};
 
 /// A revision of the whole store: a counter that grows with every change.
 pub type StoreRevision = u64;
 
-/// The number of times that the store came back from an older copy; zero if it does not say.
-///
-/// Revisions of one era are not comparable with those of another: the store gives them out again.
-pub type StoreEra = u64;
-
 /// A point in the history of the store.
 #[value]
 #[derive(Copy)]
@@ -85,8 +80,8 @@
 /// Access to the platform's store; the platform charges for every call.
 #[async_trait]
 pub trait FeedStore: Send + Sync + 'static {
-    /// Returns a receiver of the newest era that any answer named.
-    fn eras(&self) -> watch::Receiver<StoreEra>;
+    /// Returns a receiver of the newest era that any answer named, `None` before the first one.
+    fn eras(&self) -> watch::Receiver<Option<StoreEra>>;
 
     /// Lists the upstreams.
     async fn list_upstreams(
--- a/crates/papayastack/src/forward/mod.rs
+++ b/crates/papayastack/src/forward/mod.rs
@@ -50,7 +50,7 @@
 pub use gateway::{Gateway, GatewayError};
 pub use interface::{
     CallerLocation, Change, Changes, EntryFault, FeedStore, Freshness, HeaderNames, IngressFormat,
-    Listing, NamedEntry, StoreEra, StorePosition, StoreRevision,
+    Listing, NamedEntry, StorePosition, StoreRevision,
 };
 pub use registry::{UpstreamEntry, UpstreamState};
 pub use route::{
--- a/crates/papayastack/src/forward/tests/feeds.rs
+++ b/crates/papayastack/src/forward/tests/feeds.rs
@@ -17,11 +17,11 @@
 use crate::forward::state::ForwardState;
 use crate::forward::{
     CallerLocation, Changes, FeedStore, Freshness, GatewaySettings, HeaderNames, IngressFormat,
-    Listing, RepeatSettings, RouteDocument, StoreEra, StorePosition, StoreRevision, UpstreamEntry,
+    Listing, RepeatSettings, RouteDocument, StorePosition, StoreRevision, UpstreamEntry,
 };
 use crate::membership::MemberView;
 use crate::observe::DecisionLog;
-use crate::platform::{ListedVm, PlatformError};
+use crate::platform::{ListedVm, PlatformError, StoreEra};
 
 /// How long an upstream still serves requests after its removal from the store.
 const LEAVING_SERVES_FOR: Duration = Duration::from_secs(3);
@@ -53,14 +53,14 @@
 /// A store that fails the first watch, answers the second one, and removes the upstream `one` right
 /// after that.
 struct StoreThatRemovesOne {
-    eras: watch::Sender<StoreEra>,
+    eras: watch::Sender<Option<StoreEra>>,
     watches: AtomicU32,
     removed_at: watch::Sender<Option<Instant>>,
 }
 
 #[async_trait]
 impl FeedStore for StoreThatRemovesOne {
-    fn eras(&self) -> watch::Receiver<StoreEra> {
+    fn eras(&self) -> watch::Receiver<Option<StoreEra>> {
         self.eras.subscribe()
     }
 
@@ -161,7 +161,7 @@
     let state = state();
     let (removed_at, mut removals) = watch::channel(None);
     let store = Arc::new(StoreThatRemovesOne {
-        eras: watch::Sender::new(0),
+        eras: watch::Sender::new(None),
         watches: AtomicU32::new(0),
         removed_at,
     });
--- a/crates/papayastack/src/forward/tests/outages.rs
+++ b/crates/papayastack/src/forward/tests/outages.rs
@@ -13,10 +13,10 @@
 use crate::forward::feeds::spawn_feeds;
 use crate::forward::state::ForwardState;
 use crate::forward::{
-    Change, Changes, FeedStore, Freshness, Listing, RouteDocument, StoreEra, StoreRevision,
-    UpstreamEntry, UpstreamState,
+    Change, Changes, FeedStore, Freshness, Listing, RouteDocument, StoreRevision, UpstreamEntry,
+    UpstreamState,
 };
-use crate::platform::{ListedVm, PlatformError};
+use crate::platform::{ListedVm, PlatformError, StoreEra};
 
 /// The time in which a change must take effect on a VM in touch with the store.
 const APPLY_MAX: Duration = Duration::from_millis(3_000);
@@ -46,7 +46,7 @@
 
 /// A store with one outage and one change: version 2 of the routes, and an upstream that leaves.
 struct Store {
-    eras: watch::Sender<StoreEra>,
+    eras: watch::Sender<Option<StoreEra>>,
     outage: Outage,
     begins: Instant,
     ends: Instant,
@@ -115,7 +115,7 @@
 
 #[async_trait]
 impl FeedStore for Store {
-    fn eras(&self) -> watch::Receiver<StoreEra> {
+    fn eras(&self) -> watch::Receiver<Option<StoreEra>> {
         self.eras.subscribe()
     }
 
@@ -179,7 +179,7 @@
                     let begins = Instant::now() + ms(begins_ms);
                     let changes_ms = begins_ms.saturating_add_signed(change_offset_ms);
                     let store = Store {
-                        eras: watch::Sender::new(0),
+                        eras: watch::Sender::new(None),
                         outage,
                         begins,
                         ends: begins + ms(length_ms as u64),
--- a/crates/papayastack/src/lib.rs
+++ b/crates/papayastack/src/lib.rs
@@ -76,7 +76,7 @@
     CallerLimits, CallerLocation, Change, Changes, EntryFault, FeedStore, Freshness, Gateway,
     GatewayError, GatewaySettings, HeaderNames, IngressFormat, Listing, NamedEntry, PinnedRoute,
     RepeatSettings, RequestKind, Route, RouteDocument, RouteTable, RouteTarget, ServiceEntry,
-    ShardTarget, SplitPart, StoreEra, StorePosition, StoreRevision, UpstreamEntry, UpstreamState,
+    ShardTarget, SplitPart, StorePosition, StoreRevision, UpstreamEntry, UpstreamState,
 };
 pub use ids::{
     AttemptId, DataCentreName, Incarnation, QueryId, RegionName, ServiceName, ShardId, SiteName,
@@ -105,7 +105,8 @@
     MissingReason, Partial, Refusal, RefusalReason, Verdict,
 };
 pub use platform::{
-    ListedState, ListedVm, Object, ObjectName, ObjectVersion, Platform, PlatformError, Precondition,
+    ListedState, ListedVm, Object, ObjectName, ObjectVersion, Platform, PlatformError,
+    Precondition, StoreEra, object_version, version_era, version_revision,
 };
 pub use query::{
     AttemptOutcome, AttemptTrace, Budgets, Command, EarlyFinish, FailureReason, Fanout,
--- a/crates/papayastack/src/platform/api.rs
+++ b/crates/papayastack/src/platform/api.rs
@@ -5,12 +5,39 @@
 
 use async_trait::async_trait;
 use papayastack_macros::{closed_set, message, value};
+use tokio::sync::watch;
 
 use crate::ids::DataCentreName;
 
 /// The version of an object; every accepted update of the object raises it.
+///
+/// The upper bits hold the store's era, so that a version from before the store came back from an
+/// older copy is below every version after that, and equal to none.
 pub type ObjectVersion = u64;
 
+/// The number of times that the store came back from an older copy; zero if it does not say.
+///
+/// Revisions of one era are not comparable with those of another: the store gives them out again.
+pub type StoreEra = u64;
+
+/// The bits of an [`ObjectVersion`] that hold the revision; the rest holds the era.
+const REVISION_BITS: u32 = 48;
+
+/// Returns the version of an object at a revision of an era.
+pub fn object_version(era: StoreEra, revision: u64) -> ObjectVersion {
+    era << REVISION_BITS | revision
+}
+
+/// Returns the era of an object's version.
+pub fn version_era(version: ObjectVersion) -> StoreEra {
+    version >> REVISION_BITS
+}
+
+/// Returns the revision of an object's version within its era.
+pub fn version_revision(version: ObjectVersion) -> u64 {
+    version & ((1 << REVISION_BITS) - 1)
+}
+
 /// The name of an object in the platform's store.
 #[message]
 #[derive(PartialOrd, Ord)]
@@ -119,6 +146,12 @@
 /// The platform's object store; every call counts against the platform's rate limits.
 #[async_trait]
 pub trait Platform: Send + Sync + 'static {
+    /// Returns a receiver of the newest era that any answer named, `None` before the first one; a
+    /// platform without eras has no receiver.
+    fn eras(&self) -> Option<watch::Receiver<Option<StoreEra>>> {
+        None
+    }
+
     /// Reads an object.
     async fn read(&self, name: &ObjectName) -> Result<Object, PlatformError>;
 
--- a/crates/papayastack/src/platform/mod.rs
+++ b/crates/papayastack/src/platform/mod.rs
@@ -7,5 +7,6 @@
 mod api;
 
 pub use api::{
-    ListedState, ListedVm, Object, ObjectName, ObjectVersion, Platform, PlatformError, Precondition,
+    ListedState, ListedVm, Object, ObjectName, ObjectVersion, Platform, PlatformError,
+    Precondition, StoreEra, object_version, version_era, version_revision,
 };
--- a/crates/papayastack/src/vm/metered_platform.rs
+++ b/crates/papayastack/src/vm/metered_platform.rs
@@ -4,10 +4,11 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use tokio::sync::watch;
 
 use crate::observe::{Metrics, PlatformCall};
 use crate::platform::{
-    ListedVm, Object, ObjectName, ObjectVersion, Platform, PlatformError, Precondition,
+    ListedVm, Object, ObjectName, ObjectVersion, Platform, PlatformError, Precondition, StoreEra,
 };
 
 /// Passes calls on to a platform and counts them by kind and result.
@@ -33,6 +34,10 @@
 
 #[async_trait]
 impl Platform for MeteredPlatform {
+    fn eras(&self) -> Option<watch::Receiver<Option<StoreEra>>> {
+        self.platform.eras()
+    }
+
     async fn read(&self, name: &ObjectName) -> Result<Object, PlatformError> {
         let result = self.platform.read(name).await;
         self.counted(PlatformCall::Read, result)
