Keep the configuration in force when the store comes back from an older copy

What callers would see: a configuration that goes back for the seconds until the operator writes it again, or one that is never replaced because the revisions there are lower. Cause: the higher version wins, and an older copy is read at a version of a later era. Change: a content of a later era that a later one replaced here is no new version; it only counts as decided. The last 64 contents of a document are remembered by checksum. Contents differ by their change id, so that an operator who goes back on purpose is followed. Evidence and result: an_older_copy_replaces_nothing_and_what_is_written_after_it_is_adopted fails without the check (the copy is adopted) and passes with it.

--- a/crates/papayastack/src/configuration/document.rs
+++ b/crates/papayastack/src/configuration/document.rs
@@ -179,6 +179,11 @@
     Ok(value)
 }
 
+/// Returns the checksum of a content.
+pub(crate) fn content_checksum(value: &Value) -> u64 {
+    checksum_and_size(value).0
+}
+
 fn checksum_and_size(value: &Value) -> (u64, usize) {
     let text = value.to_string();
     (XxHash3_64::oneshot(text.as_bytes()), text.len())
--- a/crates/papayastack/src/configuration/store.rs
+++ b/crates/papayastack/src/configuration/store.rs
@@ -1,19 +1,22 @@
 //! The adopted documents of one VM, and the configuration in force that results from them.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
 use papayastack_macros::{message, value};
 use serde_json::Value;
 
 use super::bundle::{ActiveConfiguration, Bundle, CONFIGURATION_KIND, CONFIGURATION_NAME};
-use super::document::{Document, NewVersion};
+use super::document::{Document, NewVersion, content_checksum};
 use super::message::HeldDocument;
 use crate::catalogue::{CATALOGUE_KIND, Catalogue};
 use crate::ids::{ServiceName, SiteName};
-use crate::platform::{ObjectName, ObjectVersion};
+use crate::platform::{ObjectName, ObjectVersion, version_era};
 use crate::settings::{Fault, Settings, SettingsFile, render_if_bundle_valid};
 
+/// The most replaced contents of a document that are remembered; a copy of the store is seconds old.
+const REPLACED_MAX: usize = 64;
+
 /// Returns the name of the platform object that stores the bundle.
 pub fn configuration_object() -> ObjectName {
     ObjectName::new(CONFIGURATION_KIND, CONFIGURATION_NAME)
@@ -54,6 +57,10 @@
     site: SiteName,
     documents: BTreeMap<ObjectName, Document>,
     refused: BTreeMap<ObjectName, RefusedDocument>,
+    /// The checksums of the contents that later versions replaced, oldest first.
+    replaced: BTreeMap<ObjectName, VecDeque<u64>>,
+    /// The versions from an older copy of the store, whose content a later one had replaced.
+    copied: BTreeMap<ObjectName, ObjectVersion>,
     settings: Option<Arc<Settings>>,
     catalogues: BTreeMap<ServiceName, Arc<Catalogue>>,
     in_force: Option<Arc<ActiveConfiguration>>,
@@ -66,6 +73,8 @@
             site,
             documents: BTreeMap::new(),
             refused: BTreeMap::new(),
+            replaced: BTreeMap::new(),
+            copied: BTreeMap::new(),
             settings: None,
             catalogues: BTreeMap::new(),
             in_force: None,
@@ -81,6 +90,10 @@
         if version <= self.highest_decided_version(name) {
             return OfferOutcome::NotNewer;
         }
+        if self.is_older_copy(name, &new) {
+            self.copied.insert(name.clone(), version);
+            return OfferOutcome::NotNewer;
+        }
         let validated = if name.kind == CONFIGURATION_KIND {
             self.validate_bundle(&new.value).map(|settings| Validated::Settings(Arc::new(settings)))
         } else {
@@ -115,10 +128,12 @@
         self.documents.get(name).map_or(0, |document| document.version)
     }
 
-    /// Returns the highest version that was adopted or refused; zero if there is none.
+    /// Returns the highest version that was adopted, refused or found to be an older copy; zero if
+    /// there is none.
     pub(crate) fn highest_decided_version(&self, name: &ObjectName) -> ObjectVersion {
         let refused = self.refused.get(name).map_or(0, |refused| refused.version);
-        self.version(name).max(refused)
+        let copied = self.copied.get(name).copied().unwrap_or_default();
+        self.version(name).max(refused).max(copied)
     }
 
     /// Iterates over the refused versions that are newer than the adopted ones.
@@ -154,6 +169,16 @@
         HeldDocument { name: name.clone(), version, judged_version }
     }
 
+    /// Tells whether a version of a later era has a content that a later one replaced here: the store
+    /// came back from an older copy, and whoever wrote the later one writes it again.
+    fn is_older_copy(&self, name: &ObjectName, new: &NewVersion) -> bool {
+        if version_era(new.version) == version_era(self.version(name)) {
+            return false;
+        }
+        let checksum = content_checksum(&new.value);
+        self.replaced.get(name).is_some_and(|replaced| replaced.contains(&checksum))
+    }
+
     fn validate_bundle(&self, value: &Value) -> Result<Settings, Vec<Fault>> {
         let bundle: Bundle = serde_path_to_error::deserialize(value).map_err(|error| {
             vec![parse_fault(&error, "write change_id, base and overlays with papayactl apply")]
@@ -163,7 +188,14 @@
 
     fn adopt(&mut self, name: &ObjectName, new: NewVersion, validated: Validated) {
         let document = match self.documents.get(name) {
-            Some(held) => held.advance(new),
+            Some(held) => {
+                let replaced = self.replaced.entry(name.clone()).or_default();
+                replaced.push_back(held.checksum);
+                if replaced.len() > REPLACED_MAX {
+                    replaced.pop_front();
+                }
+                held.advance(new)
+            }
             None => Document::new(new.version, new.value),
         };
         self.documents.insert(name.clone(), document);
@@ -183,6 +215,8 @@
         let needed = self.needed_documents();
         self.documents.retain(|name, _| needed.contains(name));
         self.refused.retain(|name, _| needed.contains(name));
+        self.replaced.retain(|name, _| needed.contains(name));
+        self.copied.retain(|name, _| needed.contains(name));
     }
 
     fn rebuild_in_force(&mut self) {
--- a/crates/papayastack/src/configuration/tests/store.rs
+++ b/crates/papayastack/src/configuration/tests/store.rs
@@ -7,6 +7,7 @@
 use super::super::store::{ConfigurationStore, OfferOutcome};
 use super::super::*;
 use super::fleet::{broken_bundle, bundle, catalogue};
+use crate::platform::object_version;
 use crate::settings::SettingsFile;
 
 fn new(version: u64, value: Value) -> NewVersion {
@@ -38,6 +39,31 @@
     assert_eq!(offers, expected);
 }
 
+// Guards against a configuration that goes back with a store that came back from an older copy, and
+// against one that stays behind because the revisions there are lower.
+#[test]
+fn an_older_copy_replaces_nothing_and_what_is_written_after_it_is_adopted() {
+    let mut store = ConfigurationStore::open("any".into());
+    let name = configuration_object();
+    let version = |era, revision| object_version(era, revision);
+
+    let offers = [
+        store.offer(&name, new(version(1, 5), bundle(5))),
+        store.offer(&name, new(version(1, 9), bundle(9))),
+        store.offer(&name, new(version(2, 5), bundle(5))),
+        store.offer(&name, new(version(2, 6), bundle(10))),
+    ];
+
+    let expected = [
+        OfferOutcome::Adopted,
+        OfferOutcome::Adopted,
+        OfferOutcome::NotNewer,
+        OfferOutcome::Adopted,
+    ];
+    assert_eq!(offers, expected);
+    assert_eq!(store.highest_decided_version(&name), version(2, 6));
+}
+
 #[test]
 fn a_catalogue_is_adopted_for_a_configured_service_only() {
     let mut store = ConfigurationStore::open("any".into());
