Record submissions again that the store lost with an older copy

What callers would see: a submission that runs twice. Its intent and outcome were recorded and acknowledged, the store comes back from a copy without them, and a repeated key finds no entry. Cause: the ledger relied on the store to keep what it acknowledged; only then does it lose it. Change: when a later era is noticed, the coordinator writes its layouts again, and each writer reads its object and records again the entries that it knew and the copy lacks or holds without outcome. For 5 s no key that was issued before runs, on any VM, since another one may still have to record it; it is refused as not run with that time. Evidence and result: a_submission_does_not_run_again_after_the_store_lost_its_record and an_intent_that_the_store_lost_while_the_submission_runs_is_recorded_again fail without it (the submission runs again) and pass with it. Remains: a VM that is lost within the window, and one that hears of the era later than 5 s, leave a gap.

--- a/crates/papayastack/src/submission/coordinator.rs
+++ b/crates/papayastack/src/submission/coordinator.rs
@@ -29,6 +29,9 @@
 const WRITER_IDLE_MAX: Duration = Duration::from_secs(60);
 /// When a caller should retry after a layout could not be read or written.
 const LAYOUT_RETRY: Duration = Duration::from_millis(500);
+/// How long after the store came back from an older copy no submission runs whose key was issued
+/// before: another VM may still have to record again that it ran.
+const RECORD_AGAIN_WAIT: Duration = Duration::from_secs(5);
 
 /// The time at which an input is handled.
 #[derive(Debug, Clone, Copy)]
@@ -66,6 +69,8 @@
     Answered(CallId, CoordinatorAnswer),
     /// Sending an attempt to an upstream ended.
     Sent { object: ObjectName, attempt: SubmissionAttempt, outcome: SendOutcome },
+    /// The store came back from an older copy.
+    StoreReset,
     /// The settings changed.
     Settings(SubmissionSettings),
     /// The time of [`Coordinator::next_wake`] was reached.
@@ -108,6 +113,7 @@
 /// Coordinates all submissions of one VM.
 pub(crate) struct Coordinator {
     settings: SubmissionSettings,
+    reset: Option<StepTime>,
     layouts: BTreeMap<Era, LayoutState>,
     writers: BTreeMap<ObjectName, WriterSlot>,
     calls: BTreeMap<CallId, CallPurpose>,
@@ -120,6 +126,7 @@
     pub(crate) fn new(settings: SubmissionSettings) -> Self {
         Self {
             settings,
+            reset: None,
             layouts: BTreeMap::new(),
             writers: BTreeMap::new(),
             calls: BTreeMap::new(),
@@ -147,6 +154,7 @@
             CoordinatorInput::Sent { object, attempt, outcome } => {
                 self.step_writer(time, &object, &WriterEvent::Sent(attempt, outcome));
             }
+            CoordinatorInput::StoreReset => self.store_reset(time),
             CoordinatorInput::Settings(settings) => self.settings = settings,
             CoordinatorInput::Tick => self.tick(time),
         }
@@ -201,6 +209,12 @@
         if age_ms > self.settings.retention_ms {
             return Err(refusals::no_longer_known(&key));
         }
+        if let Some(wait) = self.record_again_wait(time, &key) {
+            return Err(refusals::store_unavailable(
+                "the store came back from an older copy, and VMs still record what ran",
+                wait,
+            ));
+        }
         if waiter.deadline <= time.now {
             return Err(refusals::deadline_before_sending());
         }
@@ -209,6 +223,39 @@
         Ok(CheckedSubmission { key, service, body, digest, attempt: random.next_u64(), waiter })
     }
 
+    /// Writes again what the store may have lost: the layouts and the entries of all ledger objects
+    /// that this VM knows.
+    fn store_reset(&mut self, time: StepTime) {
+        self.reset = Some(time);
+        let known = self.layouts.iter().filter_map(|(era, layout)| match layout {
+            LayoutState::Known(layout) => Some((*era, layout.clone())),
+            LayoutState::Loading(_) => None,
+        });
+        for (era, layout) in known.collect::<Vec<_>>() {
+            self.write_layout(era, layout);
+        }
+        let objects: Vec<ObjectName> = self.writers.keys().cloned().collect();
+        for object in objects {
+            self.step_writer(time, &object, &WriterEvent::StoreReset);
+        }
+    }
+
+    /// Returns how long a submission must wait because its key was issued before the store came back
+    /// from an older copy; `None` if it may run.
+    fn record_again_wait(&self, time: StepTime, key: &SubmissionKey) -> Option<Duration> {
+        let reset = self.reset?;
+        let newest_ms = reset.unix_ms + self.settings.clock_skew_max_ms;
+        let elapsed = time.now.saturating_duration_since(reset.now);
+        let wait = RECORD_AGAIN_WAIT.checked_sub(elapsed).filter(|wait| !wait.is_zero())?;
+        (key.issued_unix_ms() <= newest_ms).then_some(wait)
+    }
+
+    fn write_layout(&mut self, era: Era, layout: EraLayout) {
+        let value = serde_json::to_value(&layout).expect("a layout is plain JSON");
+        let update = CoordinatorCall::Update(layout_name(era), Precondition::Absent, value);
+        self.call(CallPurpose::NewLayout(era, layout), update);
+    }
+
     fn route(&mut self, time: StepTime, submission: CheckedSubmission) {
         let era = era_of(submission.key.issued_unix_ms());
         match self.layouts.get_mut(&era) {
@@ -254,10 +301,7 @@
             Ok(Some(layout)) => self.layout_known(time, era, layout),
             Ok(None) => self.layout_failed(era, "the era's layout object is malformed"),
             Err(PlatformError::NotFound) => {
-                let layout = EraLayout::proposed(&self.settings);
-                let value = serde_json::to_value(&layout).expect("a layout is plain JSON");
-                let update = CoordinatorCall::Update(layout_name(era), Precondition::Absent, value);
-                self.call(CallPurpose::NewLayout(era, layout), update);
+                self.write_layout(era, EraLayout::proposed(&self.settings));
             }
             Err(error) => self.layout_failed(era, &error.to_string()),
         }
--- a/crates/papayastack/src/submission/driver.rs
+++ b/crates/papayastack/src/submission/driver.rs
@@ -7,7 +7,7 @@
 
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot, watch};
 
 use super::coordinator::{
     CallId, Coordinator, CoordinatorAction, CoordinatorAnswer, CoordinatorCall, CoordinatorInput,
@@ -19,7 +19,7 @@
 use super::request::{SubmissionResult, WaiterId};
 use super::sender::{SendOutcome, Submission, SubmissionDone, SubmissionSender};
 use crate::outcome::{Refusal, RefusalReason};
-use crate::platform::{ObjectName, Platform, PlatformError};
+use crate::platform::{ObjectName, Platform, PlatformError, StoreEra};
 use crate::settings::SubmissionSettings;
 use crate::upstream::SubmitRequest;
 
@@ -181,6 +181,8 @@
 
 impl Driver {
     async fn run(mut self, mut inputs: mpsc::UnboundedReceiver<DriverInput>) {
+        let mut eras = self.platform.eras();
+        let mut known_era = eras.as_mut().and_then(|eras| *eras.borrow_and_update());
         loop {
             // Handles a due tick first, because the select below prefers inputs: under constant
             // load it would never get to its timer.
@@ -200,6 +202,12 @@
                     Some(input) => self.receive(input),
                     None => return,
                 },
+                era = next_era(eras.as_mut()) => {
+                    // The first answer only names the era that the store is in.
+                    if known_era.replace(era).is_some() {
+                        self.handle(CoordinatorInput::StoreReset);
+                    }
+                }
                 () = sleep_until(self.coordinator.next_wake()) => {}
             }
         }
@@ -298,6 +306,17 @@
     tokio::time::timeout(CALL_TIMEOUT, call).await.unwrap_or(Err(PlatformError::AnswerLost))
 }
 
+/// Returns the next era of the store once an answer names it.
+async fn next_era(eras: Option<&mut watch::Receiver<Option<StoreEra>>>) -> StoreEra {
+    if let Some(eras) = eras
+        && eras.changed().await.is_ok()
+        && let Some(era) = *eras.borrow_and_update()
+    {
+        return era;
+    }
+    std::future::pending().await
+}
+
 async fn sleep_until(wake: Option<Instant>) {
     match wake {
         Some(wake) => tokio::time::sleep_until(wake.into()).await,
--- a/crates/papayastack/src/submission/record.rs
+++ b/crates/papayastack/src/submission/record.rs
@@ -34,6 +34,20 @@
         self.entries.iter().map(|(key, entry)| entry.bytes_max(key)).sum()
     }
 
+    /// Adds the entries of `earlier` that an older copy of the object lacks or holds without their
+    /// outcome; returns whether there are any.
+    pub(crate) fn restore_entries(&mut self, earlier: Self) -> bool {
+        let mut restored = false;
+        for (key, entry) in earlier.entries {
+            let is_kept = self.entries.get(&key).is_some_and(|copied| copied.supersedes(&entry));
+            if !is_kept {
+                restored = true;
+                self.entries.insert(key, entry);
+            }
+        }
+        restored
+    }
+
     /// Records `outcome` if the entry of `key` still belongs to `attempt` and has no outcome.
     pub(crate) fn record_outcome(
         &mut self,
@@ -63,6 +77,22 @@
 }
 
 impl LedgerEntry {
+    /// Tells whether this entry, read after the store came back from an older copy, is as new as an
+    /// entry that was known before.
+    ///
+    /// Where both show an attempt that ran or may have run, the one with a receipt says more.
+    fn supersedes(&self, known: &Self) -> bool {
+        if self.attempt == known.attempt {
+            return self.outcome.is_some() || known.outcome.is_none();
+        }
+        match (&self.outcome, &known.outcome) {
+            (Some(RecordedOutcome::NotRun), _) => false,
+            (_, Some(RecordedOutcome::NotRun)) | (Some(RecordedOutcome::Done { .. }), _) => true,
+            (_, Some(RecordedOutcome::Done { .. })) => false,
+            (_, _) => true,
+        }
+    }
+
     /// Returns an upper bound of the entry's size under `key`, in bytes.
     pub(crate) fn bytes_max(&self, key: &str) -> usize {
         let receipt = match &self.outcome {
--- a/crates/papayastack/src/submission/tests/scenarios.rs
+++ b/crates/papayastack/src/submission/tests/scenarios.rs
@@ -5,7 +5,7 @@
 use super::simulation::{InjectedBug, InjectedFault, START_UNIX_MS, Simulation};
 use crate::outcome::{Certainty, RefusalReason};
 use crate::platform::Precondition;
-use crate::submission::coordinator::{CoordinatorAction, CoordinatorCall};
+use crate::submission::coordinator::{CoordinatorAction, CoordinatorCall, CoordinatorInput};
 use crate::submission::key::SubmissionKey;
 use crate::submission::layout::EraLayout;
 use crate::submission::record::{LedgerEntry, LedgerObject, OBJECT_MAX_BYTES, RecordedOutcome};
@@ -295,3 +295,44 @@
     }
     object
 }
+
+// Guards against a submission that runs again because the store came back from a copy without its
+// intent and its outcome.
+#[test]
+fn a_submission_does_not_run_again_after_the_store_lost_its_record() {
+    let mut simulation = simulation();
+    let copy = simulation.objects.clone();
+    assert_eq!(submit_and_run(&mut simulation, OWNER), Answer::Done);
+    simulation.run_to_completion();
+
+    simulation.objects.restore(&copy);
+    simulation.handle_input(OWNER, CoordinatorInput::StoreReset);
+    simulation.handle_input(SUCCESSOR, CoordinatorInput::StoreReset);
+    let before_recorded = submit_and_run(&mut simulation, SUCCESSOR);
+    simulation.run_to_completion();
+    simulation.pass_time(Duration::from_secs(6));
+    let after = submit_and_run(&mut simulation, SUCCESSOR);
+
+    let refused = Answer::Refused(RefusalReason::StoreUnavailable, Certainty::NotRun);
+    assert_eq!((before_recorded, after), (refused, Answer::Repeated));
+}
+
+// Guards against an intent that is lost while its submission runs, so that another VM runs it too.
+#[test]
+fn an_intent_that_the_store_lost_while_the_submission_runs_is_recorded_again() {
+    let mut simulation = simulation();
+    let copy = simulation.objects.clone();
+    submit(&mut simulation, OWNER);
+    let send = simulation.run_until(OWNER, is_send).expect("the submission is sent");
+
+    simulation.objects.restore(&copy);
+    simulation.handle_input(OWNER, CoordinatorInput::StoreReset);
+    simulation.run(OWNER);
+    simulation.pass_time(Duration::from_secs(6));
+    let meanwhile = submit_and_run(&mut simulation, SUCCESSOR);
+    simulation.perform(OWNER, send, InjectedFault::NoFault);
+    simulation.run_to_completion();
+
+    assert_eq!(meanwhile, UNKNOWN);
+    assert_eq!(submit_and_run(&mut simulation, SUCCESSOR), Answer::Repeated);
+}
--- a/crates/papayastack/src/submission/tests/store.rs
+++ b/crates/papayastack/src/submission/tests/store.rs
@@ -7,13 +7,16 @@
 use async_trait::async_trait;
 
 use crate::platform::{
-    ListedVm, Object, ObjectName, ObjectVersion, Platform, PlatformError, Precondition,
+    ListedVm, Object, ObjectName, ObjectVersion, Platform, PlatformError, Precondition, StoreEra,
+    object_version, version_revision,
 };
 
 /// The objects of the platform, with the rules of conditional updates.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct Objects {
     pub(super) objects: BTreeMap<ObjectName, Object>,
+    era: StoreEra,
+    revision: u64,
 }
 
 impl Objects {
@@ -36,11 +39,22 @@
                 return Err(PlatformError::Conflict);
             }
         }
-        let version = version.unwrap_or_default() + 1;
+        self.revision += 1;
+        let version = object_version(self.era, self.revision);
         self.objects.insert(name.clone(), Object { version, value });
         Ok(version)
     }
 
+    /// Comes back from an older copy, in the next era.
+    pub(super) fn restore(&mut self, copy: &Self) {
+        let era = self.era + 1;
+        *self = copy.clone();
+        self.era = era;
+        for object in self.objects.values_mut() {
+            object.version = object_version(era, version_revision(object.version));
+        }
+    }
+
     pub(super) fn delete(
         &mut self,
         name: &ObjectName,
--- a/crates/papayastack/src/submission/writer/attempts.rs
+++ b/crates/papayastack/src/submission/writer/attempts.rs
@@ -21,6 +21,8 @@
         match event {
             WriterEvent::Submit(submission) => self.accept(context, submission.clone()),
             WriterEvent::Sent(attempt, outcome) => self.handle_sent(context, *attempt, outcome),
+            // A writer that has read nothing has nothing to record again.
+            WriterEvent::StoreReset => self.reads_again = self.version.is_some(),
             WriterEvent::Read(_)
             | WriterEvent::Written(_)
             | WriterEvent::Floor(_)
--- a/crates/papayastack/src/submission/writer/mod.rs
+++ b/crates/papayastack/src/submission/writer/mod.rs
@@ -41,6 +41,8 @@
     Written(Result<ObjectVersion, PlatformError>),
     /// The ledger floor was read.
     Floor(Result<LedgerFloor, PlatformError>),
+    /// The store came back from an older copy.
+    StoreReset,
     /// Sending an attempt to an upstream ended.
     Sent(SubmissionAttempt, SendOutcome),
     /// The time of [`LedgerWriter::next_wake`] was reached.
@@ -121,6 +123,10 @@
     /// The content as last read or written.
     last_known: LedgerObject,
     version: Option<ObjectVersion>,
+    /// Whether the store may have lost entries of `last_known`, which are then recorded again.
+    records_again: bool,
+    /// Whether the object must be read because the store came back from an older copy.
+    reads_again: bool,
     reads_started: u64,
     last_write: Option<Instant>,
     /// The end of the backoff that the platform's rate limit demands; requests wait until then.
@@ -141,6 +147,8 @@
             outcomes: BTreeMap::new(),
             last_known: LedgerObject::default(),
             version: None,
+            records_again: false,
+            reads_again: false,
             reads_started: 0,
             last_write: None,
             rate_limited_until: None,
@@ -152,7 +160,10 @@
 
     /// Returns whether no attempt is open and every outcome is recorded.
     pub(crate) fn is_idle(&self) -> bool {
-        self.attempts.is_empty() && self.outcomes.is_empty()
+        self.attempts.is_empty()
+            && self.outcomes.is_empty()
+            && !self.records_again
+            && !self.reads_again
     }
 
     /// Returns when the next [`WriterEvent::Tick`] is due.
@@ -228,6 +239,7 @@
             Ok(version) => {
                 self.last_known = std::mem::take(&mut write.candidate);
                 self.version = Some(*version);
+                self.records_again = false;
                 self.outage_backoff = OUTAGE_BACKOFF_MIN;
                 for attempt in std::mem::take(&mut write.outcome_attempts) {
                     self.outcome_recorded(context, attempt);
--- a/crates/papayastack/src/submission/writer/object.rs
+++ b/crates/papayastack/src/submission/writer/object.rs
@@ -10,7 +10,7 @@
     LedgerWriter, OUTAGE_BACKOFF_MAX, OUTAGE_BACKOFF_MIN, State, StepContext, WriteInFlight,
     WriterAction,
 };
-use crate::platform::{ObjectVersion, Precondition};
+use crate::platform::{ObjectVersion, Precondition, version_era};
 use crate::submission::record::{LedgerEntry, LedgerObject, OBJECT_MAX_BYTES, SubmissionAttempt};
 use crate::submission::refusals;
 use crate::submission::request::{Stage, UnrecordedOutcome};
@@ -19,6 +19,7 @@
     /// Starts reading the object.
     pub(super) fn start_read(&mut self, context: &mut StepContext) -> Outcome<State> {
         self.reads_started += 1;
+        self.reads_again = false;
         self.wake = None;
         context.actions.push(WriterAction::Read);
         Transition(State::reading())
@@ -32,8 +33,14 @@
         content: LedgerObject,
     ) -> Outcome<State> {
         let version_changed = self.version != version;
+        let is_older_copy = self
+            .version
+            .is_some_and(|known| version.is_none_or(|read| version_era(read) > version_era(known)));
         self.version = version;
-        self.last_known = content;
+        let earlier = std::mem::replace(&mut self.last_known, content);
+        if is_older_copy || self.records_again {
+            self.records_again = self.last_known.restore_entries(earlier);
+        }
         self.outage_backoff = OUTAGE_BACKOFF_MIN;
         if version_changed {
             for attempt in self.attempts.values_mut() {
@@ -53,6 +60,7 @@
             context.actions.push(WriterAction::ReadFloor);
             return Transition(State::checking_floor());
         }
+        let needs_read = needs_read || self.reads_again;
         if needs_read && self.backoff_end(context.now).is_none() {
             return self.start_read(context);
         }
@@ -157,7 +165,8 @@
             true => it.ended_at + self.pacing.outcome_wait,
             false => it.ended_at + self.pacing.group_wait,
         });
-        let wanted = intents.chain(outcomes).min()?;
+        let again = self.records_again.then_some(context.now);
+        let wanted = intents.chain(outcomes).chain(again).min()?;
         let interval_end = self.last_write.map(|start| start + self.pacing.write_interval);
         [Some(wanted), interval_end, self.backoff_end(context.now)].into_iter().flatten().max()
     }
@@ -170,7 +179,7 @@
         }
         let outcome_attempts: Vec<_> = self.outcomes.keys().copied().collect();
         self.claim_attempts(context, &mut candidate);
-        if candidate == self.last_known {
+        if candidate == self.last_known && !self.records_again {
             for attempt in outcome_attempts {
                 self.outcome_recorded(context, attempt);
             }
