--- a/crates/papayastack-daemon/tests/gateway/main.rs
+++ b/crates/papayastack-daemon/tests/gateway/main.rs
@@ -1,14 +1,19 @@
 //! Tests `papayad gateway` as a process: terminated, killed, started during a store outage.
 
+mod soak;
 mod support;
 
 use std::time::Duration;
 
-use support::{GatewayProcess, Upstream, start_store};
+use support::{GatewayProcess, Upstream, announce_leaving, start_store};
 
 /// How long the upstream takes for a request in the test that terminates the process meanwhile.
 const REQUEST_DURATION: Duration = Duration::from_millis(400);
 
+/// How long the store must have been sound for a process to count as in touch with it.
+const CONTACT: Duration = Duration::from_millis(4_000);
+/// How long an upstream may get requests after its leaving was acknowledged.
+const DRAIN: Duration = Duration::from_millis(3_000);
 /// How long a VM that was lost may still be named to callers.
 const NAMED_AFTER_LOSS_MAX: Duration = Duration::from_secs(7);
 
@@ -69,6 +74,37 @@
     assert!(staying.names(staying.caller_address).await);
 }
 
+// Guards against requests to an upstream after its leaving was acknowledged, from a process whose
+// watch waits in vain because the store was silent for a time.
+#[tokio::test]
+async fn an_upstream_that_leaves_after_a_silent_outage_gets_no_late_request() {
+    let leaving = Upstream::bind(Duration::from_millis(2)).await;
+    let store = start_store(Some(&leaving)).await;
+    let process = GatewayProcess::start(store.address()).await;
+    process.wait_until_served().await;
+    let address = process.caller_address;
+    let callers = [(); 4].map(|()| {
+        tokio::spawn(async move {
+            loop {
+                support::get(address).await;
+            }
+        })
+    });
+    tokio::time::sleep(Duration::from_secs(2)).await;
+
+    store.change_behaviour(|behaviour| behaviour.silent = true);
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    store.change_behaviour(|behaviour| behaviour.silent = false);
+    tokio::time::sleep(CONTACT).await;
+    announce_leaving(&store, &leaving);
+    tokio::time::sleep(DRAIN).await;
+    let in_time = leaving.arrived();
+    tokio::time::sleep(Duration::from_secs(2)).await;
+
+    assert_eq!(leaving.arrived() - in_time, 0);
+    callers.iter().for_each(|caller| caller.abort());
+}
+
 #[tokio::test]
 async fn a_process_started_during_a_store_outage_serves_after_the_store_recovers() {
     let upstream = Upstream::bind(Duration::ZERO).await;
--- a/crates/papayastack-daemon/tests/gateway/support.rs
+++ b/crates/papayastack-daemon/tests/gateway/support.rs
@@ -15,7 +15,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::process::{Child, ChildStdout, Command};
 
-const CONFIGURATION: &str = include_str!("../../../../platform/tests/fixtures/configuration.json");
+pub(crate) const CONFIGURATION: &str =
+    include_str!("../../../../platform/tests/fixtures/configuration.json");
 const BACKEND: &str = include_str!("../../../../platform/tests/fixtures/backend.json");
 
 /// Starts a store that holds the configuration and, if `upstream` is given, its entry.
@@ -30,14 +31,25 @@
     store
 }
 
-fn any_port() -> SocketAddr {
+pub(crate) fn any_port() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
 
+/// Writes the entry of an upstream that says that it is leaving.
+pub(crate) fn announce_leaving(store: &PlatformStandin, upstream: &Upstream) {
+    let entry = BACKEND
+        .replace("ADDRESS", &upstream.address.to_string())
+        .replace("ready", "draining")
+        .replace("\"sequence\": 1", "\"sequence\": 2");
+    let entry = serde_json::from_str(&entry).expect("fixtures are JSON");
+    store.put_object(&ObjectName::new("servers", "i-1"), entry);
+}
+
 /// An upstream that responds to each request after a fixed time.
 pub(crate) struct Upstream {
     pub(crate) address: SocketAddr,
     working: Arc<AtomicUsize>,
+    arrived: Arc<AtomicUsize>,
 }
 
 impl Upstream {
@@ -45,13 +57,20 @@
         let listener = TcpListener::bind(any_port()).await.expect("a port is free");
         let address = listener.local_addr().expect("a listener has an address");
         let working = Arc::new(AtomicUsize::new(0));
-        let shared = Arc::clone(&working);
+        let arrived = Arc::new(AtomicUsize::new(0));
+        let (shared, counted) = (Arc::clone(&working), Arc::clone(&arrived));
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(serve(stream, request_duration, Arc::clone(&shared)));
+                let counts = (Arc::clone(&shared), Arc::clone(&counted));
+                tokio::spawn(serve(stream, request_duration, counts));
             }
         });
-        Self { address, working }
+        Self { address, working, arrived }
+    }
+
+    /// Returns the number of requests that have arrived.
+    pub(crate) fn arrived(&self) -> usize {
+        self.arrived.load(Ordering::Acquire)
     }
 
     /// Waits until the upstream is working on a request.
@@ -62,12 +81,17 @@
     }
 }
 
-async fn serve(mut stream: TcpStream, request_duration: Duration, working: Arc<AtomicUsize>) {
+async fn serve(
+    mut stream: TcpStream,
+    request_duration: Duration,
+    (working, arrived): (Arc<AtomicUsize>, Arc<AtomicUsize>),
+) {
     let names = PlatformIngress::new();
     let names = names.headers();
     while let Some(head) = read_head(&mut stream).await {
         let id_name = format!("{}: ", names.request_id);
         let id = head.lines().find_map(|line| line.strip_prefix(&id_name)).unwrap_or("");
+        arrived.fetch_add(1, Ordering::AcqRel);
         working.fetch_add(1, Ordering::AcqRel);
         tokio::time::sleep(request_duration).await;
         working.fetch_sub(1, Ordering::AcqRel);
@@ -81,7 +105,7 @@
     }
 }
 
-async fn read_head(stream: &mut TcpStream) -> Option<String> {
+pub(crate) async fn read_head(stream: &mut TcpStream) -> Option<String> {
     let mut bytes = Vec::new();
     while !bytes.ends_with(b"\r\n\r\n") {
         bytes.push(stream.read_u8().await.ok()?);
@@ -160,8 +184,13 @@
     }
 
     pub(crate) fn terminate(&self) {
+        self.signal("TERM");
+    }
+
+    /// Sends a signal to the process.
+    pub(crate) fn signal(&self, name: &str) {
         let id = self.child.id().expect("the process runs").to_string();
-        let sent = std::process::Command::new("kill").args(["-TERM", &id]).status();
+        let sent = std::process::Command::new("kill").args([&format!("-{name}"), &id]).status();
         assert!(sent.expect("kill runs").success());
     }
 
--- a/crates/papayastack-standin/src/platform/behaviour.rs
+++ b/crates/papayastack-standin/src/platform/behaviour.rs
@@ -10,6 +10,8 @@
     pub unreachable: bool,
     /// Every call is answered with status 503 and changes nothing.
     pub unavailable: bool,
+    /// Calls get no answer, and neither do watches that wait; their connections stay open.
+    pub silent: bool,
     /// The delay before a call is carried out, in milliseconds.
     pub slow_ms: u64,
     /// The share of updates and deletions, in thousandths, that take effect but whose answer is
@@ -42,6 +44,7 @@
         Self {
             unreachable: false,
             unavailable: false,
+            silent: false,
             slow_ms: 0,
             lost_after_permille: 0,
             lost_before_permille: 0,
--- a/crates/papayastack-standin/src/platform/service.rs
+++ b/crates/papayastack-standin/src/platform/service.rs
@@ -164,6 +164,7 @@
     let era = state.lock().store.era();
     loop {
         changed.borrow_and_update();
+        fall_silent(state).await;
         {
             let mut inner = state.lock();
             check_available(&mut inner)?;
@@ -294,9 +295,18 @@
     if slow_ms > 0 {
         tokio::time::sleep(Duration::from_millis(slow_ms)).await;
     }
+    fall_silent(state).await;
     check_available(&mut state.lock())
 }
 
+/// Never returns if the platform is silent.
+async fn fall_silent(state: &State) {
+    let silent = state.lock().behaviour.silent;
+    if silent {
+        std::future::pending::<()>().await;
+    }
+}
+
 fn check_available(inner: &mut Inner) -> Result<(), CallError> {
     if inner.behaviour.unavailable {
         inner.counts.unavailable += 1;
