--- a/crates/papayastack/src/forward/feeds.rs
+++ b/crates/papayastack/src/forward/feeds.rs
@@ -91,7 +91,7 @@
 
     fn call_failed(&mut self, error: &PlatformError) {
         self.state.metrics.store_call(self.feed, Some(error));
-        self.state.store_retry.call_failed(now());
+        self.state.store_health.call_failed(now());
         if self.lost_at.is_none() {
             self.lost_at = Some(Instant::now());
             self.state.log.write(DecisionEvent::StoreLost, || {
@@ -107,7 +107,7 @@
     fn call_answered(&mut self) {
         self.state.metrics.store_call(self.feed, None);
         self.answered_at = now();
-        self.state.store_retry.call_answered(self.answered_at);
+        self.state.store_health.call_answered(self.answered_at);
         self.state.record_feed_answer(self.feed, self.answered_at);
         if let Some(lost_at) = self.lost_at.take() {
             self.state.log.write(
@@ -121,7 +121,7 @@
     async fn wait_after_failure(&mut self, error: &PlatformError, backoff: &mut Backoff) {
         self.call_failed(error);
         let pause = backoff.pause(error, self.state.is_ready());
-        self.state.store_retry.wait(pause, now()).await;
+        self.state.store_health.wait(pause, now()).await;
     }
 
     /// Logs why the feed lists everything again.
@@ -211,10 +211,10 @@
                 let registry = state.registry();
                 (registry.next_wake(), registry.recheck_at())
             };
-            let (started, wait) = (now(), state.store_retry.watch_wait(now()));
+            let (started, wait) = (now(), state.store_health.watch_wait(now()));
             let outcome = tokio::select! {
                 outcome = store.watch_upstreams(position.revision, wait) => outcome,
-                () = state.store_retry.watch_is_doubtful(started, wait) => continue,
+                () = state.store_health.watch_is_doubtful(started, wait) => continue,
                 () = sleep_until_some(next_wake) => {
                     state.update_registry(|registry| registry.on_tick(now()));
                     continue;
@@ -295,10 +295,10 @@
         };
         loop {
             sleep(ROUTES_WATCH_PAUSE).await;
-            let (started, wait) = (now(), state.store_retry.watch_wait(now()));
+            let (started, wait) = (now(), state.store_health.watch_wait(now()));
             let outcome = tokio::select! {
                 outcome = store.watch_routes(position.revision, wait) => outcome,
-                () = state.store_retry.watch_is_doubtful(started, wait) => continue,
+                () = state.store_health.watch_is_doubtful(started, wait) => continue,
                 () = wait_for_later_era(&mut eras, position.era) => {
                     availability.relisting(RelistReason::StoreReset);
                     break;
@@ -398,7 +398,7 @@
             "routes": routes,
             "source": source,
             "store_era": position.era,
-                "store_revision": position.revision,
+            "store_revision": position.revision,
         })
     });
 }
@@ -425,7 +425,7 @@
         backoff.reset();
         let mut is_recorded = true;
         while is_recorded {
-            let silent_at = state.store_retry.silent_at(STORE_CHECK_INTERVAL, now());
+            let silent_at = state.store_health.silent_at(STORE_CHECK_INTERVAL, now());
             tokio::select! {
                 () = tokio::time::sleep_until(silent_at.into()) => {}
                 () = wait_for_later_era(&mut eras, era) => {
@@ -435,7 +435,7 @@
                     break;
                 }
             }
-            if state.store_retry.answered_within(STORE_CHECK_INTERVAL, now()) {
+            if state.store_health.answered_within(STORE_CHECK_INTERVAL, now()) {
                 continue;
             }
             match store.is_recorded(&own).await {
--- a/crates/papayastack/src/forward/mod.rs
+++ b/crates/papayastack/src/forward/mod.rs
@@ -12,7 +12,7 @@
 //! | `ingress` | the HTTP endpoints for callers |
 //! | `response` | the outcome of a request and the HTTP response for it |
 //! | `feeds` | lists and watches of the store: upstreams, routes, other VMs |
-//! | `store_retry` | retries of a store that failed, by one feed at a time |
+//! | `store_health` | how long a watch is trusted; retries by one feed at a time |
 //! | `silence` | notices between VMs about upstreams that do not answer |
 //! | `state` | the state that all requests of one VM share |
 //! | `gateway` | start and stop of one forwarding VM |
@@ -37,7 +37,7 @@
 mod settings;
 mod silence;
 mod state;
-mod store_retry;
+mod store_health;
 #[cfg(test)]
 mod tests;
 
--- a/crates/papayastack/src/forward/state.rs
+++ b/crates/papayastack/src/forward/state.rs
@@ -18,7 +18,7 @@
 use super::registry::{Registry, RegistryEvent, UpstreamSet, UpstreamTarget};
 use super::route::{Route, RouteTable, SplitPart};
 use super::settings::GatewaySettings;
-use super::store_retry::StoreRetryGate;
+use super::store_health::StoreHealth;
 use crate::admission::Admission;
 use crate::ids::{DataCentreName, RegionName, ServiceName, VmAddress};
 use crate::membership::MemberView;
@@ -46,7 +46,7 @@
     pub(crate) upstreams: watch::Sender<Option<Arc<UpstreamSet>>>,
     pub(crate) members: watch::Receiver<Arc<MemberView>>,
     pub(crate) metrics: ForwardMetrics,
-    pub(crate) store_retry: StoreRetryGate,
+    pub(crate) store_health: StoreHealth,
     /// Notified when a request finds a service without upstreams.
     pub(crate) upstreams_needed: Notify,
     /// Wakes the task that notifies other VMs of silent upstreams.
@@ -84,7 +84,7 @@
             upstreams: watch::Sender::new(None),
             members,
             metrics: ForwardMetrics::new(),
-            store_retry: StoreRetryGate::new(),
+            store_health: StoreHealth::new(),
             upstreams_needed: Notify::new(),
             silence_found: Notify::new(),
             drain_requested: watch::Sender::new(false),
--- a/crates/papayastack/src/forward/store_retry.rs
+++ b/crates/papayastack/src/forward/store_health.rs
@@ -17,10 +17,10 @@
 /// one without changes until its wait is over.
 const WATCH_WAIT_UNSETTLED: Duration = Duration::from_secs(1);
 
-/// Lets one of several feeds test whether the store answers again, while the others wait, because
-/// the platform charges for every call, including refused ones.
+/// When the store answered and failed last. Lets one of several feeds test whether it answers again
+/// while the others wait, because the platform charges for every call, including refused ones.
 #[derive(Debug)]
-pub(crate) struct StoreRetryGate {
+pub(crate) struct StoreHealth {
     retrying: Mutex<()>,
     /// When a call was answered last.
     answered_at: watch::Sender<Option<Instant>>,
@@ -28,7 +28,7 @@
     failed_at: watch::Sender<Option<Instant>>,
 }
 
-impl StoreRetryGate {
+impl StoreHealth {
     pub(crate) fn new() -> Self {
         Self {
             retrying: Mutex::new(()),
--- a/crates/papayastack/src/forward/tests/mod.rs
+++ b/crates/papayastack/src/forward/tests/mod.rs
@@ -11,5 +11,5 @@
 mod routes;
 mod settings;
 mod silence;
-mod store_retry;
+mod store_health;
 mod windows;
--- a/crates/papayastack/src/forward/tests/store_retry.rs
+++ b/crates/papayastack/src/forward/tests/store_health.rs
@@ -4,14 +4,14 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
-use crate::forward::store_retry::StoreRetryGate;
+use crate::forward::store_health::StoreHealth;
 
 fn now() -> std::time::Instant {
     tokio::time::Instant::now().into_std()
 }
 
 /// Starts a feed whose calls all fail; returns its counter of calls.
-fn failing_feed(gate: &Arc<StoreRetryGate>) -> Arc<AtomicU32> {
+fn failing_feed(gate: &Arc<StoreHealth>) -> Arc<AtomicU32> {
     let calls = Arc::new(AtomicU32::new(0));
     let (gate, counted) = (Arc::clone(gate), Arc::clone(&calls));
     tokio::spawn(async move {
@@ -25,7 +25,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn only_one_feed_retries_a_store_that_failed() {
-    let gate = Arc::new(StoreRetryGate::new());
+    let gate = Arc::new(StoreHealth::new());
     let feeds = [failing_feed(&gate), failing_feed(&gate), failing_feed(&gate)];
 
     tokio::time::sleep(Duration::from_millis(9_900)).await;
@@ -38,7 +38,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn the_other_feeds_continue_once_a_call_is_answered() {
-    let gate = Arc::new(StoreRetryGate::new());
+    let gate = Arc::new(StoreHealth::new());
     let retrying = failing_feed(&gate);
     tokio::task::yield_now().await;
     let started = tokio::time::Instant::now();
@@ -58,7 +58,7 @@
 // Guards against a feed that waits for an answer which came between its failed call and its wait.
 #[tokio::test(start_paused = true)]
 async fn an_answer_between_the_failure_and_the_wait_is_not_missed() {
-    let gate = Arc::new(StoreRetryGate::new());
+    let gate = Arc::new(StoreHealth::new());
     let _retrying = failing_feed(&gate);
     tokio::task::yield_now().await;
     let failed_at = now();
