Take the platform's header names from the adapter in the soak

Change: the soak reads the names from PlatformIngress; a comment of the feeds names no parameter of the platform. No product behaviour changes.

--- a/crates/papayastack-daemon/tests/gateway/soak.rs
+++ b/crates/papayastack-daemon/tests/gateway/soak.rs
@@ -6,7 +6,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use papayastack::ObjectName;
+use papayastack::{HeaderNames, IngressFormat, ObjectName};
+use papayastack_platform::PlatformIngress;
 use papayastack_standin::PlatformStandin;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -91,7 +92,9 @@
     /// Judges a request that arrived at an upstream, and returns the head of the reply.
     fn arrive(&self, upstream: usize, head: &str) -> String {
         let field = |name: &str| head.lines().find_map(|line| line.strip_prefix(name));
-        let id = field("papayastack-attempt-id: ").unwrap_or("");
+        let names = PlatformIngress::new();
+        let HeaderNames { request_id, not_run, seal, leaving: leaving_name, .. } = names.headers();
+        let id = field(&format!("{request_id}: ")).unwrap_or("");
         let mut parts = id.split('-').skip(1).map(|part| part.parse::<u64>().unwrap_or_default());
         let vm = parts.next().unwrap_or_default() as usize;
         let sent_at = self.started + Duration::from_millis(parts.next().unwrap_or_default());
@@ -109,7 +112,7 @@
         if heard_at.is_some_and(|at| sent_at > at + DRAIN) {
             self.find(format!("VM {vm} sent to upstream {upstream}, whose leaving it passed on"));
         }
-        let common = format!("papayastack-attempt-id: {id}\r\n");
+        let common = format!("{request_id}: {id}\r\n");
         if state.refuses_until.is_some_and(|until| until > now) {
             let (first, late) = state.refused.entry(vm).or_insert((now, 0));
             if now > *first + REFUSAL_SLACK {
@@ -120,19 +123,19 @@
             }
             let seconds = state.refuses_until.map_or(0.0, |until| (until - now).as_secs_f64());
             return format!(
-                "HTTP/1.1 503 Full\r\n{common}papayastack-not-executed: 1\r\n\
+                "HTTP/1.1 503 Full\r\n{common}{not_run}: 1\r\n\
                  retry-after: {seconds:.3}\r\ncontent-length: 0\r\n\r\n"
             );
         }
         let leaving = if state.leaving_since.is_some() && state.names_leaving {
             state.heard_by.entry(vm).or_insert(now);
-            "server-leaving: 1\r\n"
+            format!("{leaving_name}: 1\r\n")
         } else {
-            ""
+            String::new()
         };
         let length = id.len();
         format!(
-            "HTTP/1.1 200 OK\r\n{common}{leaving}papayastack-server-seal: seal\r\n\
+            "HTTP/1.1 200 OK\r\n{common}{leaving}{seal}: seal\r\n\
              content-length: {length}\r\n\r\n{id}"
         )
     }
@@ -240,9 +243,11 @@
 /// Sends one request; returns its status, or `None` if the connection ended.
 async fn exchange(soak: &Soak, vm: usize, stream: &mut TcpStream, path: &str) -> Option<u16> {
     let id = format!("s-{vm}-{}", soak.started.elapsed().as_millis());
+    let names = PlatformIngress::new();
+    let HeaderNames { request_id, remaining_ms, .. } = names.headers();
     let request = format!(
-        "GET {path} HTTP/1.1\r\nhost: a.example\r\npapayastack-attempt-id: {id}\r\n\
-         papayastack-time-remaining: 3000\r\n\r\n"
+        "GET {path} HTTP/1.1\r\nhost: a.example\r\n{request_id}: {id}\r\n\
+         {remaining_ms}: 3000\r\n\r\n"
     );
     stream.write_all(request.as_bytes()).await.ok()?;
     let head = read_head(stream).await?;
--- a/crates/papayastack/src/forward/feeds.rs
+++ b/crates/papayastack/src/forward/feeds.rs
@@ -38,7 +38,7 @@
 /// watch delivers them within that time.
 const BEHIND_PEERS_MAX: Duration = Duration::from_millis(600);
 /// The longest time without an answer of the store before this VM checks that it answers; longer
-/// silence may hide a lost answer to a watch. `allow_stale` makes the check a tenth of a call.
+/// silence may hide a lost answer to a watch. The check may lag and so costs a tenth of a call.
 const STORE_CHECK_INTERVAL: Duration = Duration::from_millis(2_500);
 /// The longest pause before this VM writes its record again to a store back from an older copy.
 const RECORD_JITTER_MAX: Duration = Duration::from_millis(500);
