--- a/crates/papayastack-daemon/tests/gateway/soak.rs
+++ b/crates/papayastack-daemon/tests/gateway/soak.rs
@@ -162,11 +162,12 @@
             self.store.remove_object(&name);
         } else {
             let sequence = self.started.elapsed().as_millis() as u64;
-            let entry = json!({
-                "service": "one", "address": address, "zone": "a", "config_version": "v1",
-                "slots": 5, "state": entry_state, "cold_left_ms": 0, "sequence": sequence,
-                "born": state.start,
-            });
+            let mut entry: serde_json::Value =
+                serde_json::from_str(crate::support::BACKEND).expect("fixtures are JSON");
+            entry["address"] = json!(address);
+            entry["state"] = json!(entry_state);
+            entry["sequence"] = json!(sequence);
+            entry["born"] = json!(state.start);
             self.store.put_object(&name, entry);
         }
         let sound = lock(&self.store_troubled_at).is_none_or(|at| at.elapsed() > CONTACT);
@@ -205,9 +206,11 @@
         let mut routes: serde_json::Value =
             serde_json::from_str(crate::support::CONFIGURATION).expect("fixtures are JSON");
         routes["config_version"] = json!(version);
-        let mut newest = routes["routes"][0].clone();
+        let prefix = format!("/version-{version}/");
+        let newest = routes["routes"][0].to_string().replace("/read/", &prefix);
+        let mut newest: serde_json::Value =
+            serde_json::from_str(&newest).expect("the text stays JSON");
         newest["name"] = json!("newest");
-        newest["path_prefix"] = json!(format!("/version-{version}/"));
         routes["routes"].as_array_mut().expect("the fixture lists routes").push(newest);
         self.store.put_object(&ObjectName::new("config", "main"), routes);
     }
--- a/crates/papayastack-daemon/tests/gateway/support.rs
+++ b/crates/papayastack-daemon/tests/gateway/support.rs
@@ -17,7 +17,7 @@
 
 pub(crate) const CONFIGURATION: &str =
     include_str!("../../../../platform/tests/fixtures/configuration.json");
-const BACKEND: &str = include_str!("../../../../platform/tests/fixtures/backend.json");
+pub(crate) const BACKEND: &str = include_str!("../../../../platform/tests/fixtures/backend.json");
 
 /// Starts a store that holds the configuration and, if `upstream` is given, its entry.
 pub(crate) async fn start_store(upstream: Option<&Upstream>) -> PlatformStandin {
