Log the limits that upstreams name, and what is sent to them

Cause: no log line or metric showed that an upstream names a limit, so the hypotheses could not be told apart. Change: the adapter names the header; upstream_limited and papaya_forward_limited_upstreams show limits and what this VM sent. No decision changes.

--- a/crates/papayastack/src/forward/attempt.rs
+++ b/crates/papayastack/src/forward/attempt.rs
@@ -10,7 +10,7 @@
 use super::interface::HeaderNames;
 use super::registry::UpstreamTarget;
 use super::state::ForwardState;
-use crate::query::{AttemptOutcome, FailureReason, NotRunReason, UpstreamLoad};
+use crate::query::{AttemptOutcome, FailureReason, MilliPerSecond, NotRunReason, UpstreamLoad};
 use crate::upstream::ExchangeError;
 
 /// The largest body of a reply in bytes; a larger one counts as malformed.
@@ -201,6 +201,13 @@
     Duration::try_from_secs_f64(seconds).ok().map(|duration| duration.min(REFUSAL_MAX))
 }
 
+/// Reads a limit, a decimal number of requests per second.
+pub(crate) fn parse_limit(value: &HeaderValue) -> Option<MilliPerSecond> {
+    let per_second: f64 = value.to_str().ok()?.trim().parse().ok()?;
+    let valid = per_second.is_finite() && per_second >= 0.0;
+    valid.then_some((per_second * 1_000.0) as MilliPerSecond)
+}
+
 /// Returns a copy of the headers without the hop-by-hop ones.
 pub(crate) fn end_to_end_headers(headers: &HeaderMap) -> HeaderMap {
     let named: Vec<String> = headers
--- a/crates/papayastack/src/forward/interface.rs
+++ b/crates/papayastack/src/forward/interface.rs
@@ -43,6 +43,9 @@
     pub load: HeaderName,
     /// Marks, with the value 1, the replies of an upstream that is leaving.
     pub leaving: HeaderName,
+    /// The requests a second, as a decimal number, that an upstream in need takes from all VMs
+    /// together. The limit holds until a reply lacks the header.
+    pub rate_limit: HeaderName,
     /// Marks a reply of an upstream that did not run the request.
     pub not_run: HeaderName,
     /// The seals of all parts of a merged answer.
--- a/crates/papayastack/src/forward/metrics.rs
+++ b/crates/papayastack/src/forward/metrics.rs
@@ -29,6 +29,7 @@
 pub(crate) struct ForwardLevels {
     pub(crate) routes_version: u64,
     pub(crate) upstreams: u64,
+    pub(crate) limited_upstreams: u64,
     pub(crate) members: u64,
     pub(crate) connections: u64,
     pub(crate) connections_opened: u64,
@@ -48,6 +49,7 @@
     store_calls: Family<CallLabels, Counter>,
     routes_version: Gauge<u64, AtomicU64>,
     upstreams: Gauge<u64, AtomicU64>,
+    limited_upstreams: Gauge<u64, AtomicU64>,
     members: Gauge<u64, AtomicU64>,
     connections: Gauge<u64, AtomicU64>,
     connections_opened: Counter,
@@ -70,6 +72,7 @@
             store_calls: Family::default(),
             routes_version: Gauge::default(),
             upstreams: Gauge::default(),
+            limited_upstreams: Gauge::default(),
             members: Gauge::default(),
             connections: Gauge::default(),
             connections_opened: Counter::default(),
@@ -88,6 +91,7 @@
     pub(crate) fn encode(&self, levels: &ForwardLevels) -> String {
         self.routes_version.set(levels.routes_version);
         self.upstreams.set(levels.upstreams);
+        self.limited_upstreams.set(levels.limited_upstreams);
         self.members.set(levels.members);
         self.connections.set(levels.connections);
         self.connections_opened.inner().store(levels.connections_opened, Ordering::Relaxed);
@@ -171,6 +175,8 @@
         let version = self.routes_version.clone();
         registry.register("routes_version", "Version of the routes in force", version);
         registry.register("upstreams", "Upstreams that may be used", self.upstreams.clone());
+        let limited = self.limited_upstreams.clone();
+        registry.register("limited_upstreams", "Upstreams that name a limit", limited);
         registry.register("members", "VMs known, this one included", self.members.clone());
         let connections = self.connections.clone();
         registry.register("connections", "Open connections to upstreams", connections);
--- a/crates/papayastack/src/forward/operators.rs
+++ b/crates/papayastack/src/forward/operators.rs
@@ -27,6 +27,7 @@
         ForwardLevels {
             routes_version: state.routes_version(),
             upstreams: state.upstreams.borrow().as_ref().map_or(0, |set| set.by_index.len() as u64),
+            limited_upstreams: state.decisions().limits().count() as u64,
             members: state.members.borrow().members.len() as u64,
             connections,
             connections_opened,
--- a/crates/papayastack/src/forward/state.rs
+++ b/crates/papayastack/src/forward/state.rs
@@ -11,7 +11,7 @@
 use serde_json::json;
 use tokio::sync::{Notify, watch};
 
-use super::attempt::refusal_duration;
+use super::attempt::{parse_limit, refusal_duration};
 use super::interface::IngressFormat;
 use super::metrics::ForwardMetrics;
 use super::plan::replicas_of;
@@ -24,7 +24,8 @@
 use crate::membership::MemberView;
 use crate::observe::{DecisionEvent, DecisionLog};
 use crate::query::{
-    Budgets, FanoutContext, Observations, QuantileTracker, SilenceHold, UpstreamLoad,
+    Budgets, FanoutContext, LimitRecord, Observations, QuantileTracker, RateLimits, SilenceHold,
+    UpstreamLoad,
 };
 use crate::routing::{ShardReplicas, UpstreamIndex};
 use crate::settings::DataCentreSettings;
@@ -179,11 +180,40 @@
                 || json!({ "upstream": target.id, "refuses_ms": duration.as_millis() as u64 });
             self.log.write(DecisionEvent::UpstreamRefuses, fields);
         }
+        self.heed_limit(target, headers, now);
         if headers.get(&self.format.headers().leaving).is_some_and(|value| value == "1") {
             self.update_registry(|registry| registry.on_leaving_reply(target));
         }
     }
 
+    fn heed_limit(&self, target: &UpstreamTarget, headers: &HeaderMap, now: Instant) {
+        let names = self.format.headers();
+        let named = headers.get(&names.rate_limit);
+        let limit = named.and_then(parse_limit);
+        // A reply without the request's id may be an earlier one, and ends no limit. Neither does
+        // a limit that cannot be read.
+        let unknown =
+            limit.is_none() && (named.is_some() || !headers.contains_key(&names.request_id));
+        if unknown || !self.is_current(target) {
+            return;
+        }
+        let record = self.decisions().limits().on_reply(target.index, limit, now);
+        if let Some(record) = record {
+            self.log_limit(target, record);
+        }
+    }
+
+    fn log_limit(&self, target: &UpstreamTarget, record: LimitRecord) {
+        self.log.write(DecisionEvent::UpstreamLimited, || {
+            json!({
+                "upstream": target.id,
+                "limit_per_s": record.limit.map(|limit| limit as f64 / 1_000.0),
+                "sent": record.sent,
+                "period_ms": record.period.as_millis() as u64,
+            })
+        });
+    }
+
     /// Tells whether this VM should get callers' requests.
     pub(crate) fn is_ready(&self) -> bool {
         !self.leaving.load(Ordering::Acquire)
@@ -290,6 +320,11 @@
         shards.iter().filter_map(until).map(|until| until - now).collect()
     }
 
+    /// Returns the limits that upstreams name.
+    pub(crate) fn limits(&mut self) -> &mut RateLimits {
+        &mut self.observations.limits
+    }
+
     /// Records another VM's report that an upstream is silent.
     pub(crate) fn record_silence_report(
         &mut self,
--- a/crates/papayastack/src/forward/tests/feeds.rs
+++ b/crates/papayastack/src/forward/tests/feeds.rs
@@ -143,6 +143,7 @@
         seal: name("seal"),
         load: name("load"),
         leaving: name("leaving"),
+        rate_limit: name("rate-limit"),
         not_run: name("not-run"),
         part_seals: name("seals"),
         parts_missing: name("missing"),
--- a/crates/papayastack/src/observe/decisions.rs
+++ b/crates/papayastack/src/observe/decisions.rs
@@ -42,6 +42,8 @@
     UpstreamSilent,
     /// An upstream refused a request and wants no other one for a time.
     UpstreamRefuses,
+    /// An upstream named a limit on its requests, changed it, or named none any more.
+    UpstreamLimited,
     /// The store's entry of an upstream was ignored.
     UpstreamIgnored,
     /// The store stopped answering.
@@ -68,7 +70,7 @@
 
 impl DecisionEvent {
     /// All kinds.
-    pub const ALL: [Self; 22] = [
+    pub const ALL: [Self; 23] = [
         Self::Started,
         Self::Stopping,
         Self::Stopped,
@@ -80,6 +82,7 @@
         Self::UpstreamHeld,
         Self::UpstreamSilent,
         Self::UpstreamRefuses,
+        Self::UpstreamLimited,
         Self::UpstreamIgnored,
         Self::StoreLost,
         Self::StoreRegained,
@@ -101,7 +104,8 @@
             Self::RequestLate
             | Self::RequestPartial
             | Self::UpstreamSilent
-            | Self::UpstreamRefuses => 10,
+            | Self::UpstreamRefuses
+            | Self::UpstreamLimited => 10,
             Self::UpstreamUsable | Self::UpstreamUnusable => 100,
             _ => 40,
         }
--- a/crates/papayastack/src/query/health.rs
+++ b/crates/papayastack/src/query/health.rs
@@ -7,6 +7,7 @@
 use rand::Rng;
 
 use super::attempt::{AttemptOutcome, FailureReason, NotRunReason};
+use super::limits::RateLimits;
 use super::silence::{SilenceDetector, SilenceHold, SilenceReporter};
 use crate::ids::VmAddress;
 use crate::routing::UpstreamIndex;
@@ -64,6 +65,8 @@
 #[derive(Debug, Default)]
 pub struct Observations {
     records: Vec<Record>,
+    /// The limits that upstreams name.
+    pub(crate) limits: RateLimits,
     /// Upstreams that this VM found silent and has not reported to the other VMs yet.
     unreported_silent: BTreeSet<UpstreamIndex>,
     /// Silence holds that started and have not been taken yet.
@@ -139,6 +142,7 @@
 
     /// Records that an attempt was sent; no progress for longer than `stall_after` means a stall.
     pub fn sent(&mut self, upstream: UpstreamIndex, now: Instant, stall_after: Duration) {
+        self.limits.count_sent(upstream);
         let record = self.record(upstream);
         if record.in_flight == 0 {
             record.progress_at = Some(now);
@@ -256,6 +260,7 @@
     /// Forgets an upstream, since its index may be reused for another one.
     pub fn forget(&mut self, upstream: UpstreamIndex) {
         *self.record(upstream) = Record::new();
+        self.limits.forget(upstream);
         self.unreported_silent.remove(&upstream);
     }
 
--- a/crates/papayastack/src/query/mod.rs
+++ b/crates/papayastack/src/query/mod.rs
@@ -10,6 +10,7 @@
 mod fanout;
 mod gather;
 mod health;
+mod limits;
 mod progress;
 mod quantile;
 mod silence;
@@ -23,6 +24,7 @@
 pub use fanout::Fanout;
 pub use gather::{Gather, GatheredPart};
 pub use health::{Observations, UpstreamLoad};
+pub(crate) use limits::{LimitRecord, MilliPerSecond, RateLimits};
 pub use quantile::QuantileTracker;
 pub use silence::SilenceHold;
 pub use spec::{
