Land a failing test for the limits of upstreams

What callers saw: nothing; an upstream that named a limit got far more (LIMIT). Evidence: three processes, one upstream that names 6 a second: 355 requests in 4 s, 41 are allowed.

--- a/crates/papayastack-daemon/tests/gateway/main.rs
+++ b/crates/papayastack-daemon/tests/gateway/main.rs
@@ -1,5 +1,6 @@
 //! Tests `papayad gateway` as a process: terminated, killed, started during a store outage.
 
+mod limits;
 mod soak;
 mod support;
 
--- a/crates/papayastack-daemon/tests/gateway/support.rs
+++ b/crates/papayastack-daemon/tests/gateway/support.rs
@@ -3,9 +3,9 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::Stdio;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::Duration;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 
 use papayastack::{IngressFormat, ObjectName};
 use papayastack_platform::PlatformIngress;
@@ -49,28 +49,44 @@
 pub(crate) struct Upstream {
     pub(crate) address: SocketAddr,
     working: Arc<AtomicUsize>,
-    arrived: Arc<AtomicUsize>,
+    arrivals: Arc<Mutex<Vec<Instant>>>,
 }
 
 impl Upstream {
     pub(crate) async fn bind(request_duration: Duration) -> Self {
+        Self::bind_with_fields(request_duration, String::new()).await
+    }
+
+    /// Binds an upstream that names a limit of requests per second in each reply.
+    pub(crate) async fn bind_limited(request_duration: Duration, limit_per_s: f64) -> Self {
+        let names = PlatformIngress::new();
+        let field = format!("{}: {limit_per_s}\r\n", names.headers().rate_limit);
+        Self::bind_with_fields(request_duration, field).await
+    }
+
+    async fn bind_with_fields(request_duration: Duration, fields: String) -> Self {
         let listener = TcpListener::bind(any_port()).await.expect("a port is free");
         let address = listener.local_addr().expect("a listener has an address");
         let working = Arc::new(AtomicUsize::new(0));
-        let arrived = Arc::new(AtomicUsize::new(0));
-        let (shared, counted) = (Arc::clone(&working), Arc::clone(&arrived));
+        let arrivals = Arc::new(Mutex::default());
+        let (shared, counted) = (Arc::clone(&working), Arc::clone(&arrivals));
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 let counts = (Arc::clone(&shared), Arc::clone(&counted));
-                tokio::spawn(serve(stream, request_duration, counts));
+                tokio::spawn(serve(stream, request_duration, fields.clone(), counts));
             }
         });
-        Self { address, working, arrived }
+        Self { address, working, arrivals }
     }
 
     /// Returns the number of requests that have arrived.
     pub(crate) fn arrived(&self) -> usize {
-        self.arrived.load(Ordering::Acquire)
+        self.arrivals().len()
+    }
+
+    /// Returns when each request arrived.
+    pub(crate) fn arrivals(&self) -> Vec<Instant> {
+        self.arrivals.lock().expect("no test panics while it holds the lock").clone()
     }
 
     /// Waits until the upstream is working on a request.
@@ -84,19 +100,20 @@
 async fn serve(
     mut stream: TcpStream,
     request_duration: Duration,
-    (working, arrived): (Arc<AtomicUsize>, Arc<AtomicUsize>),
+    fields: String,
+    (working, arrivals): (Arc<AtomicUsize>, Arc<Mutex<Vec<Instant>>>),
 ) {
     let names = PlatformIngress::new();
     let names = names.headers();
     while let Some(head) = read_head(&mut stream).await {
         let id_name = format!("{}: ", names.request_id);
         let id = head.lines().find_map(|line| line.strip_prefix(&id_name)).unwrap_or("");
-        arrived.fetch_add(1, Ordering::AcqRel);
+        arrivals.lock().expect("no test panics while it holds the lock").push(Instant::now());
         working.fetch_add(1, Ordering::AcqRel);
         tokio::time::sleep(request_duration).await;
         working.fetch_sub(1, Ordering::AcqRel);
         let reply = format!(
-            "HTTP/1.1 200 OK\r\n{}: {id}\r\n{}: seal\r\ncontent-length: 6\r\n\r\nanswer",
+            "HTTP/1.1 200 OK\r\n{}: {id}\r\n{fields}{}: seal\r\ncontent-length: 6\r\n\r\nanswer",
             names.request_id, names.seal
         );
         if stream.write_all(reply.as_bytes()).await.is_err() {
