Keep the limits of upstreams over all VMs

Cause: the limit was not read. Class: a bound on the sum over VMs, of which each VM sees only its own part. Change: query::limits keeps the newest limit of each upstream. VMs report limit and demand to each other each half second while there is one; each uses a part by demand, the urgent classes first, an equal part where it heard nothing of a VM. A bucket holds that part; below one token it draws. All that is sent takes room, also what waited for a connection; replicas without room are passed over, and what no replica can take is refused at once. Observations of a removed upstream are dropped even if its index is used again at once. In virtual time, 4, 24 and 300 VMs with unequal traffic, falls, ends, surges and a restart stay within the bound.

--- a/crates/papayastack/src/forward/attempt.rs
+++ b/crates/papayastack/src/forward/attempt.rs
@@ -11,6 +11,7 @@
 use super::registry::UpstreamTarget;
 use super::state::ForwardState;
 use crate::query::{AttemptOutcome, FailureReason, MilliPerSecond, NotRunReason, UpstreamLoad};
+use crate::settings::QueryClass;
 use crate::upstream::ExchangeError;
 
 /// The largest body of a reply in bytes; a larger one counts as malformed.
@@ -73,6 +74,10 @@
     /// The largest number of connections that this VM may open to the target.
     pub(crate) connections_max: u32,
     pub(crate) deadline: Instant,
+    /// The class of the request.
+    pub(crate) class: QueryClass,
+    /// When the target was chosen.
+    pub(crate) chosen_at: Instant,
 }
 
 impl Attempt<'_> {
@@ -88,13 +93,13 @@
     }
 
     async fn exchange(&self) -> AttemptEnd {
-        let Self { state, request, target, connections_max, .. } = *self;
+        let Self { state, request, target, connections_max, class, chosen_at, .. } = *self;
         let names = state.format.headers();
         let exchanged = state.pool.exchange(
             target.address,
             connections_max,
             self.outgoing_request(names),
-            || state.may_send_to(target, Instant::now()),
+            || state.may_send_to(target, class, chosen_at),
         );
         let (response, lease) = match exchanged.await {
             Ok(replied) => replied,
@@ -185,7 +190,7 @@
         ),
         ExchangeError::Withdrawn => AttemptEnd::new(
             AttemptOutcome::NotRun(NotRunReason::UnknownUpstream),
-            "the upstream left or refused before the request was sent",
+            "the upstream left, refused or reached its limit before the request was sent",
         ),
         ExchangeError::AnswerLost { detail } => {
             AttemptEnd::new(AttemptOutcome::Failed(FailureReason::AnswerLost), detail)
--- a/crates/papayastack/src/forward/exchange.rs
+++ b/crates/papayastack/src/forward/exchange.rs
@@ -18,6 +18,7 @@
     NotRunReason,
 };
 use crate::routing::UpstreamIndex;
+use crate::settings::QueryClass;
 
 /// How long attempts may run on after the request was answered without them, so that their
 /// connections can be reused and their latencies are observed.
@@ -34,6 +35,7 @@
     pub(crate) request: Arc<CallerRequest>,
     /// The number of VMs that share the connections to an upstream.
     pub(crate) sharing_vms: u32,
+    pub(crate) class: QueryClass,
 }
 
 /// An attempt that ended without being cancelled.
@@ -222,7 +224,7 @@
         let connections_max = self.connections_max(&target);
         let state = Arc::clone(&self.task.state);
         let request = Arc::clone(&self.task.request);
-        let deadline = self.deadline;
+        let (deadline, class, chosen_at) = (self.deadline, self.task.class, Instant::now());
         self.run_attempt(Box::pin(async move {
             let attempt = Attempt {
                 state: &state,
@@ -230,6 +232,8 @@
                 target: &target,
                 connections_max,
                 deadline,
+                class,
+                chosen_at,
             };
             (id, upstream, attempt.run().await)
         }));
--- a/crates/papayastack/src/forward/gateway.rs
+++ b/crates/papayastack/src/forward/gateway.rs
@@ -13,9 +13,11 @@
 use super::feeds::{discover_vms, follow_members, spawn_feeds};
 use super::ingress::{caller_router, directory_router, ready_router};
 use super::interface::{FeedStore, IngressFormat};
+use super::limits::report_limits;
+use super::notices::receive_notices;
 use super::operators::GatewayOperatorService;
 use super::settings::GatewaySettings;
-use super::silence::exchange_silence_notices;
+use super::silence::report_silence;
 use super::state::ForwardState;
 use crate::addresses::Leaving;
 use crate::listen::{HeadTimeout, HttpServer};
@@ -130,7 +132,9 @@
         let mut tasks = spawn_feeds(&state, Arc::clone(&store), membership.address());
         tasks.extend([
             tokio::spawn(discover_vms(Arc::clone(&state), store, Arc::clone(&membership))),
-            tokio::spawn(exchange_silence_notices(Arc::clone(&state), Arc::clone(&membership))),
+            tokio::spawn(receive_notices(Arc::clone(&state), Arc::clone(&membership))),
+            tokio::spawn(report_silence(Arc::clone(&state), Arc::clone(&membership))),
+            tokio::spawn(report_limits(Arc::clone(&state), Arc::clone(&membership))),
             tokio::spawn(follow_members(Arc::clone(&state), Arc::clone(&membership))),
         ]);
         state.log.write(DecisionEvent::Started, || {
--- a/crates/papayastack/src/forward/ingress.rs
+++ b/crates/papayastack/src/forward/ingress.rs
@@ -152,16 +152,19 @@
         };
         return not_run(RETRY_AFTER, detail.to_owned());
     }
-    let mut refused = state.decisions().refused_shards(&shards, Instant::now());
+    let class = route_class(route, route.document());
+    let mut refused = state.decisions().refused_shards(&shards, class, Instant::now());
     if known - refused.len() < shards_min {
         refused.sort_unstable();
         // Enough shards take requests again once the soonest ones that are still lacking do.
         let lacking = shards_min - (known - refused.len());
         let retry_after = refused.get(lacking - 1).copied().unwrap_or(RETRY_AFTER);
-        let detail = "the upstreams want no request for a time".to_owned();
-        return not_run(retry_after.max(RETRY_AFTER), detail);
+        // Jitter keeps callers that were refused together from retrying together.
+        let jitter = state.decisions().random.random_range(1.0..1.6);
+        let detail = "the upstreams want no request for a time, or have reached their limits";
+        return not_run(retry_after.max(RETRY_AFTER).mul_f64(jitter), detail.to_owned());
     }
-    let permit = match AdmissionPermit::acquire(state, route, &services) {
+    let permit = match AdmissionPermit::acquire(state, class, &services) {
         Ok(permit) => permit,
         Err(retry_after) => {
             let detail = "the limit of requests in flight to the upstreams is reached".to_owned();
@@ -169,13 +172,14 @@
         }
     };
     let overloaded = state.decisions().admission.is_limiting(&permit.name, accepted);
-    let spec = gather_spec(route, services, shards, accepted, deadline, overloaded);
+    let spec = gather_spec(route, services, shards, accepted, deadline, overloaded, class);
     let task = ExchangeTask {
         state: Arc::clone(state),
         upstreams,
         route: route.clone(),
         request,
         sharing_vms,
+        class,
     };
     let mut end = Exchange::start(task, spec).run().await;
     let loads = end.parts.iter().map(|(_, part)| shard_load(part));
@@ -202,11 +206,10 @@
     /// Acquires a permit; if the limit is reached, returns how long the caller should wait.
     fn acquire(
         state: &'a ForwardState,
-        route: &PinnedRoute,
+        class: QueryClass,
         services: &[ServiceName],
     ) -> Result<Self, Duration> {
         let name = limit_name(services);
-        let class = route_class(route, route.document());
         let mut decisions = state.decisions();
         match decisions.admission.admit(&name, class, u32::MAX) {
             AdmissionResult::Admitted => {
--- a/crates/papayastack/src/forward/mod.rs
+++ b/crates/papayastack/src/forward/mod.rs
@@ -13,6 +13,8 @@
 //! | `response` | the outcome of a request and the HTTP response for it |
 //! | `feeds` | lists and watches of the store: upstreams, routes, other VMs |
 //! | `store_health` | how long a watch is trusted; retries by one feed at a time |
+//! | `limits` | reports between VMs about upstreams that limit their rate |
+//! | `notices` | receipt of other VMs' notices |
 //! | `silence` | notices between VMs about upstreams that do not answer |
 //! | `state` | the state that all requests of one VM share |
 //! | `gateway` | start and stop of one forwarding VM |
@@ -26,7 +28,9 @@
 mod gateway;
 mod ingress;
 mod interface;
+mod limits;
 mod metrics;
+mod notices;
 mod operators;
 mod overload;
 mod plan;
--- a/crates/papayastack/src/forward/plan.rs
+++ b/crates/papayastack/src/forward/plan.rs
@@ -73,6 +73,7 @@
     accepted: Instant,
     deadline: Instant,
     overloaded: bool,
+    urgency: QueryClass,
 ) -> GatherSpec {
     let early_finish = match &route.target {
         RouteTarget::Shards(target) => Some(EarlyFinish {
@@ -105,6 +106,7 @@
             hedge_delay_initial: route.goal.mul_f64(HEDGE_DELAY_GOAL_SHARE_INITIAL),
             hedge_delay_max: route.goal.mul_f64(HEDGE_DELAY_GOAL_SHARE_MAX),
             unneeded_attempts: UnneededAttempts::CancelWhereOthersWait,
+            urgency,
         },
     }
 }
--- a/crates/papayastack/src/forward/silence.rs
+++ b/crates/papayastack/src/forward/silence.rs
@@ -45,24 +45,12 @@
     }
 }
 
-/// Sends notices about silent upstreams to the other VMs and applies theirs, until the task is
-/// aborted.
-pub(crate) async fn exchange_silence_notices(
-    state: Arc<ForwardState>,
-    membership: Arc<Membership>,
-) {
-    let Some(mut notices) = membership.notices() else { return };
+/// Sends notices about silent upstreams to the other VMs until the task is aborted.
+pub(crate) async fn report_silence(state: Arc<ForwardState>, membership: Arc<Membership>) {
     loop {
-        tokio::select! {
-            () = state.silence_found.notified() => {
-                sleep(NOTICE_BATCH_DELAY).await;
-                send_notice(&state, &membership);
-            }
-            notice = notices.recv() => match notice {
-                Some(notice) => apply_notice(&state, &notice),
-                None => return,
-            },
-        }
+        state.silence_found.notified().await;
+        sleep(NOTICE_BATCH_DELAY).await;
+        send_notice(&state, &membership);
         log_holds(&state);
     }
 }
@@ -85,15 +73,9 @@
     }
 }
 
-fn apply_notice(state: &ForwardState, notice: &Notice) {
-    let Some(SilentUpstreams(ids)) = SilentUpstreams::decode(&notice.body) else {
-        log::warn!(
-            target: "papaya::forward",
-            "forward: Cannot decode a notice from {}; does that VM run another version?",
-            notice.sender
-        );
-        return;
-    };
+/// Takes another VM's notice about silent upstreams.
+pub(crate) fn apply_silence(state: &ForwardState, notice: &Notice, silent: SilentUpstreams) {
+    let SilentUpstreams(ids) = silent;
     let Some(upstreams) = state.upstreams.borrow().clone() else { return };
     let now = Instant::now();
     let mut decisions = state.decisions();
@@ -101,6 +83,8 @@
     for index in ids.iter().filter_map(|id| upstreams.index_of(id)) {
         decisions.record_silence_report(index, notice.sender, now);
     }
+    drop(decisions);
+    log_holds(state);
 }
 
 fn log_holds(state: &ForwardState) {
--- a/crates/papayastack/src/forward/state.rs
+++ b/crates/papayastack/src/forward/state.rs
@@ -24,11 +24,11 @@
 use crate::membership::MemberView;
 use crate::observe::{DecisionEvent, DecisionLog};
 use crate::query::{
-    Budgets, FanoutContext, LimitRecord, Observations, QuantileTracker, RateLimits, SilenceHold,
-    UpstreamLoad,
+    Budgets, FanoutContext, LimitRecord, LimitReport, MilliPerSecond, Observations,
+    QuantileTracker, RateLimits, SilenceHold, UpstreamLoad, Urgency,
 };
 use crate::routing::{ShardReplicas, UpstreamIndex};
-use crate::settings::DataCentreSettings;
+use crate::settings::{DataCentreSettings, QueryClass};
 use crate::upstream::ConnectionPool;
 use crate::vm::lock;
 
@@ -52,6 +52,8 @@
     pub(crate) upstreams_needed: Notify,
     /// Wakes the task that notifies other VMs of silent upstreams.
     pub(crate) silence_found: Notify,
+    /// Wakes the task that reports the limits of upstreams to other VMs.
+    pub(crate) limit_found: Notify,
     pub(crate) drain_requested: watch::Sender<bool>,
     /// Set when the VM begins to leave: it is no longer ready, but still serves requests.
     pub(crate) leaving: AtomicBool,
@@ -88,6 +90,7 @@
             store_health: StoreHealth::new(),
             upstreams_needed: Notify::new(),
             silence_found: Notify::new(),
+            limit_found: Notify::new(),
             drain_requested: watch::Sender::new(false),
             leaving: AtomicBool::new(false),
             refuses_requests: AtomicBool::new(false),
@@ -136,7 +139,9 @@
         let set = registry.set();
         let mut decisions = self.decisions();
         for (index, target) in old.iter().flat_map(|old| &old.by_index) {
-            if !set.by_index.contains_key(index) {
+            // The index of a removed upstream may belong to another one already.
+            let kept = set.by_index.get(index).is_some_and(|kept| kept.is_same_process(target));
+            if !kept {
                 decisions.forget_upstream(*index);
                 self.pool.close_idle(target.address);
             }
@@ -155,9 +160,16 @@
         current.is_some_and(|current| current.is_same_process(target))
     }
 
-    /// Tells whether a request may be sent to an upstream of an earlier set.
-    pub(crate) fn may_send_to(&self, target: &UpstreamTarget, now: Instant) -> bool {
-        self.is_current(target) && !self.decisions().is_refusing(target.index, now)
+    /// Tells whether an attempt may be sent to an upstream that was chosen at `chosen_at`.
+    pub(crate) fn may_send_to(
+        &self,
+        target: &UpstreamTarget,
+        class: QueryClass,
+        chosen_at: Instant,
+    ) -> bool {
+        let now = Instant::now();
+        self.is_current(target)
+            && self.decisions().takes_attempt(target.index, class, chosen_at, now)
     }
 
     /// Heeds what an upstream says of itself in the head of a reply.
@@ -197,9 +209,12 @@
         if unknown || !self.is_current(target) {
             return;
         }
-        let record = self.decisions().limits().on_reply(target.index, limit, now);
+        let record = self.decisions().record_limit(target.index, limit, now);
         if let Some(record) = record {
             self.log_limit(target, record);
+            if record.is_news {
+                self.limit_found.notify_one();
+            }
         }
     }
 
@@ -236,6 +251,7 @@
         let mut decisions = self.decisions();
         decisions.vms_known = decisions.vms_known.max(vms);
         let vms_known = decisions.vms_known;
+        decisions.limits().set_vms(vms_known);
         decisions.budgets.windows.configure(self.settings.repeats.window_settings(), vms_known);
     }
 }
@@ -267,9 +283,11 @@
 impl ForwardDecisions {
     /// Creates the state without observations.
     pub(crate) fn new(random: SmallRng) -> Self {
+        let mut observations = Observations::new();
+        observations.limits.set_vms(VMS_ASSUMED);
         Self {
             admission: Admission::new(),
-            observations: Observations::new(),
+            observations,
             budgets: Budgets::new(),
             latencies: BTreeMap::new(),
             shards: BTreeMap::new(),
@@ -308,16 +326,57 @@
         self.observations.record_refusal(upstream, until);
     }
 
-    /// Tells whether an upstream wants no request of this VM at present.
-    pub(crate) fn is_refusing(&self, upstream: UpstreamIndex, now: Instant) -> bool {
-        self.observations.is_refusing(upstream, now)
+    /// Records a request to `shards` and returns, for each shard of which no replica takes it now,
+    /// the time until one does.
+    pub(crate) fn refused_shards(
+        &mut self,
+        shards: &[ShardReplicas],
+        class: QueryClass,
+        now: Instant,
+    ) -> Vec<Duration> {
+        let Self { observations, random, .. } = self;
+        let mut waits = Vec::new();
+        for ShardReplicas { replicas, .. } in shards {
+            observations.limits.record_demand(replicas, class);
+            waits.extend(observations.wait_for_any(replicas, Urgency::Class(class), now, random));
+        }
+        waits
+    }
+
+    /// Takes the limit that an upstream named in a reply; returns what is to be logged.
+    pub(crate) fn record_limit(
+        &mut self,
+        upstream: UpstreamIndex,
+        limit: Option<MilliPerSecond>,
+        now: Instant,
+    ) -> Option<LimitRecord> {
+        self.observations.limits.on_reply(upstream, limit, now, &mut self.random)
     }
 
-    /// Returns the shards of which no replica takes requests, with the time until one does.
-    pub(crate) fn refused_shards(&self, shards: &[ShardReplicas], now: Instant) -> Vec<Duration> {
-        let until =
-            |shard: &ShardReplicas| self.observations.all_refusing_until(&shard.replicas, now);
-        shards.iter().filter_map(until).map(|until| until - now).collect()
+    /// Takes another VM's report about the limit of an upstream.
+    pub(crate) fn record_limit_report(
+        &mut self,
+        upstream: UpstreamIndex,
+        peer: VmAddress,
+        report: LimitReport,
+        now: Instant,
+    ) {
+        self.observations.limits.on_report(upstream, peer, report, now, &mut self.random);
+    }
+
+    /// Tells whether an attempt chosen at `chosen_at` may be sent: the upstream takes requests and
+    /// has room for it.
+    pub(crate) fn takes_attempt(
+        &mut self,
+        upstream: UpstreamIndex,
+        class: QueryClass,
+        chosen_at: Instant,
+        now: Instant,
+    ) -> bool {
+        let Self { observations, random, .. } = self;
+        let urgency = Urgency::Class(class);
+        !observations.is_refusing(upstream, now)
+            && observations.limits.confirm(upstream, chosen_at, urgency, now, random)
     }
 
     /// Returns the limits that upstreams name.
--- a/crates/papayastack/src/forward/tests/mod.rs
+++ b/crates/papayastack/src/forward/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod fan_out;
 mod feeds;
+mod limits;
 mod load;
 mod model;
 mod outages;
--- a/crates/papayastack/src/forward/tests/model.rs
+++ b/crates/papayastack/src/forward/tests/model.rs
@@ -339,7 +339,7 @@
         }
         let shards = Arc::clone(&self.shards);
         let overloaded = self.vms[vm].admission.is_limiting(&name, accepted);
-        let spec = gather_spec(route, services, shards, accepted, deadline, overloaded);
+        let spec = gather_spec(route, services, shards, accepted, deadline, overloaded, class);
         self.totals.first_sends += self.scenario.shards;
         let mut context = self.vms[vm].context(&route.name, accepted);
         let (gather, commands) = Gather::start(spec, &mut context);
--- a/crates/papayastack/src/forward/tests/plan.rs
+++ b/crates/papayastack/src/forward/tests/plan.rs
@@ -11,10 +11,11 @@
 use crate::forward::state::ForwardDecisions;
 use crate::forward::{RequestKind, Route, RouteTarget, SplitPart};
 use crate::query::{GatherSpec, RetryPolicy};
+use crate::settings::QueryClass;
 
 fn spec(route: &Route, now: Instant) -> GatherSpec {
     let services = Arc::from(["board".to_owned()]);
-    gather_spec(route, services, Arc::default(), now, now + route.timeout, false)
+    gather_spec(route, services, Arc::default(), now, now + route.timeout, false, QueryClass::Sweep)
 }
 
 #[test]
--- a/crates/papayastack/src/query/gather.rs
+++ b/crates/papayastack/src/query/gather.rs
@@ -7,6 +7,7 @@
 
 use super::attempt::{AttemptOutcome, FailureReason, NotRunReason};
 use super::health::LATENCY_UNIT;
+use super::limits::Urgency;
 use super::progress::{Attempt, ShardProgress, ShardState};
 use super::quantile::QuantileTracker;
 use super::spec::{
@@ -282,13 +283,18 @@
         }
         self.counts.unresolved += u64::from(matches!(outcome, AttemptOutcome::Failed(_)));
         context.budgets.record_outcome(outcome.missing_reason() == MissingReason::Overloaded);
-        self.uncount_unsent(&outcome, attempt);
+        self.uncount_unsent(&outcome, attempt, context);
         self.progress[shard].running -= 1;
         Some((shard, outcome))
     }
 
     /// Subtracts an attempt from the counts if it is known not to have reached an upstream.
-    fn uncount_unsent(&mut self, outcome: &AttemptOutcome<P>, attempt: AttemptId) {
+    fn uncount_unsent<R: Rng>(
+        &mut self,
+        outcome: &AttemptOutcome<P>,
+        attempt: AttemptId,
+        context: &mut FanoutContext<'_, R>,
+    ) {
         let unsent = matches!(
             outcome,
             AttemptOutcome::NotRun(
@@ -304,6 +310,7 @@
             let record = &self.attempts[attempt as usize];
             self.counts.hedges -= u64::from(record.hedge);
             self.progress[record.shard].sends -= 1;
+            context.observations.limits.refund(record.upstream, record.sent_at);
         }
     }
 
@@ -485,7 +492,10 @@
             None => context.budgets.retries_used_share(),
         };
         let FanoutContext { observations, random, now, .. } = context;
-        let chosen = observations.choose(replicas, tried, scarcity, *now, random);
+        let urgency = if hedge { Urgency::Hedge } else { Urgency::Class(self.spec.rules.urgency) };
+        let mut excluded = observations.without_room(replicas, urgency, *now, random);
+        excluded.extend(tried);
+        let chosen = observations.choose(replicas, &excluded, scarcity, *now, random);
         let Some(position) = chosen else {
             return false;
         };
--- a/crates/papayastack/src/query/health.rs
+++ b/crates/papayastack/src/query/health.rs
@@ -7,7 +7,7 @@
 use rand::Rng;
 
 use super::attempt::{AttemptOutcome, FailureReason, NotRunReason};
-use super::limits::RateLimits;
+use super::limits::{RateLimits, Urgency};
 use super::silence::{SilenceDetector, SilenceHold, SilenceReporter};
 use crate::ids::VmAddress;
 use crate::routing::UpstreamIndex;
@@ -142,7 +142,7 @@
 
     /// Records that an attempt was sent; no progress for longer than `stall_after` means a stall.
     pub fn sent(&mut self, upstream: UpstreamIndex, now: Instant, stall_after: Duration) {
-        self.limits.count_sent(upstream);
+        self.limits.take(upstream);
         let record = self.record(upstream);
         if record.in_flight == 0 {
             record.progress_at = Some(now);
@@ -287,12 +287,42 @@
         self.refusing_until(upstream).is_some_and(|until| until > now)
     }
 
-    /// Returns when the first of `replicas` takes requests again; `None` if one takes them now or
-    /// there is none.
-    pub fn all_refusing_until(&self, replicas: &[UpstreamIndex], now: Instant) -> Option<Instant> {
-        let until =
-            |upstream: &UpstreamIndex| self.refusing_until(*upstream).filter(|until| *until > now);
-        replicas.iter().map(until).collect::<Option<Vec<Instant>>>()?.into_iter().min()
+    /// Returns how long it takes until one of `replicas` takes a request, because each wants none
+    /// for a time or has reached its limit; `None` if one takes it now or there is none.
+    pub(crate) fn wait_for_any(
+        &mut self,
+        replicas: &[UpstreamIndex],
+        urgency: Urgency,
+        now: Instant,
+        random: &mut impl Rng,
+    ) -> Option<Duration> {
+        let mut shortest = None;
+        for upstream in replicas {
+            let mut wait = self
+                .refusing_until(*upstream)
+                .map_or(Duration::ZERO, |until| until.saturating_duration_since(now));
+            if !self.limits.has_room(*upstream, urgency, now, random) {
+                wait = wait.max(self.limits.wait(*upstream, now));
+            }
+            if wait.is_zero() {
+                return None;
+            }
+            shortest = Some(shortest.map_or(wait, |shortest: Duration| shortest.min(wait)));
+        }
+        shortest
+    }
+
+    /// Returns the positions of the replicas that have reached their limits.
+    pub(crate) fn without_room(
+        &mut self,
+        replicas: &[UpstreamIndex],
+        urgency: Urgency,
+        now: Instant,
+        random: &mut impl Rng,
+    ) -> Vec<usize> {
+        let limits = &mut self.limits;
+        let full = |position: &usize| !limits.has_room(replicas[*position], urgency, now, random);
+        (0..replicas.len()).filter(full).collect()
     }
 
     fn refusing_until(&self, upstream: UpstreamIndex) -> Option<Instant> {
--- a/crates/papayastack/src/query/mod.rs
+++ b/crates/papayastack/src/query/mod.rs
@@ -24,7 +24,7 @@
 pub use fanout::Fanout;
 pub use gather::{Gather, GatheredPart};
 pub use health::{Observations, UpstreamLoad};
-pub(crate) use limits::{LimitRecord, MilliPerSecond, RateLimits};
+pub(crate) use limits::{LimitRecord, LimitReport, MilliPerSecond, RateLimits, Urgency};
 pub use quantile::QuantileTracker;
 pub use silence::SilenceHold;
 pub use spec::{
--- a/crates/papayastack/src/query/spec.rs
+++ b/crates/papayastack/src/query/spec.rs
@@ -11,7 +11,7 @@
 use super::quantile::QuantileTracker;
 use crate::ids::{AttemptId, ServiceName, ShardId, SnapshotVersion};
 use crate::routing::{ShardReplicas, UpstreamIndex};
-use crate::settings::{ClassSettings, RoutingSettings};
+use crate::settings::{ClassSettings, QueryClass, RoutingSettings};
 
 /// The default hedge delay until enough latencies have been measured.
 const HEDGE_DELAY_INITIAL: Duration = Duration::from_millis(100);
@@ -51,6 +51,8 @@
     pub hedge_delay_max: Duration,
     /// Which attempts are cancelled once they are not needed.
     pub unneeded_attempts: UnneededAttempts,
+    /// Which requests come first where upstreams limit their rate.
+    pub urgency: QueryClass,
 }
 
 impl Default for GatherRules {
@@ -64,6 +66,7 @@
             hedge_delay_initial: HEDGE_DELAY_INITIAL,
             hedge_delay_max: Duration::MAX,
             unneeded_attempts: UnneededAttempts::Cancel,
+            urgency: QueryClass::Sweep,
         }
     }
 }
