Bound the room that VMs with few requests keep; finish the postmortem of limits

What callers saw: nothing. Cause: a VM with few requests kept room for its mean gap between them; a surge took it from all VMs at once. Change: at most three seconds' room is kept, and three quarters of a share are drawn for.

--- a/crates/papayastack/src/query/limits/bucket.rs
+++ b/crates/papayastack/src/query/limits/bucket.rs
@@ -9,8 +9,13 @@
 
 /// The time whose share may be used at once.
 const BURST: Duration = Duration::from_secs(1);
+/// The mean gaps between requests whose share a VM keeps; many gaps are longer than the mean.
+const GAPS_KEPT: f64 = 3.0;
+/// The longest time whose share a VM with few requests keeps between them; a surge may take what all
+/// VMs have kept at once.
+const KEPT_BETWEEN_REQUESTS_MAX: Duration = Duration::from_secs(3);
 /// The used part of a share where tokens are drawn, since the number of draws that win varies.
-const DRAWN_SHARE: f64 = 0.85;
+const DRAWN_SHARE: f64 = 0.75;
 /// The longest time to wait for a token that is named to callers.
 const WAIT_MAX: Duration = Duration::from_secs(5);
 
@@ -94,11 +99,15 @@
 
 /// Returns the most tokens that a bucket holds.
 ///
-/// A VM with few requests keeps what comes in between two of them, so that its share is not lost.
+/// A VM with few requests keeps what comes in between them, so that its share is not lost.
 fn capacity(share: Share) -> f64 {
     let per_second = share.rates.total();
     let burst = per_second * BURST.as_secs_f64();
-    let between_requests =
-        if share.demand > 0.0 { (per_second / share.demand).min(1.0) } else { 0.0 };
+    let kept_max = (per_second * KEPT_BETWEEN_REQUESTS_MAX.as_secs_f64()).min(1.0);
+    let between_requests = if share.demand > 0.0 {
+        (GAPS_KEPT * per_second / share.demand).min(kept_max)
+    } else {
+        0.0
+    };
     burst.max(between_requests)
 }
