--- a/crates/papayastack/src/query/limits/bucket.rs
+++ b/crates/papayastack/src/query/limits/bucket.rs
@@ -15,7 +15,7 @@
 /// VMs have kept at once.
 const KEPT_BETWEEN_REQUESTS_MAX: Duration = Duration::from_secs(3);
 /// The used part of a share where tokens are drawn, since the number of draws that win varies.
-const DRAWN_SHARE: f64 = 0.75;
+const DRAWN_SHARE: f64 = 0.78;
 /// The longest time to wait for a token that is named to callers.
 const WAIT_MAX: Duration = Duration::from_secs(5);
 
