--- /dev/null
+++ b/crates/papayastack-daemon/tests/gateway/lost_links.rs
@@ -0,0 +1,239 @@
+//! A VM that loses its links to all upstreams, while callers, the store and another VM reach it.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use papayastack::{FeedStore, HeaderNames, IngressFormat, ListedState, ListedVm};
+use papayastack_platform::{PlatformIngress, PlatformStore};
+use papayastack_standin::PlatformStandin;
+use tokio::io::{AsyncReadExt, AsyncWriteExt, copy_bidirectional};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+
+use crate::support::{GatewayProcess, Upstream, any_port, put_backend, start_store};
+
+const UPSTREAMS: usize = 5;
+/// How long callers wait for an answer.
+const DEADLINE: Duration = Duration::from_millis(300);
+/// The time from the loss of the links on from which the VM must serve again.
+const CONTACT: Duration = Duration::from_secs(4);
+const REQUESTS: usize = 60;
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Links {
+    Sound,
+    /// Open connections fall silent, and new ones get no reply.
+    Silent,
+    /// Open connections are closed, and new ones are refused.
+    Refused,
+    /// Open connections live on, and new ones are refused.
+    RefusedIfNew,
+}
+
+/// Stands between one VM and one upstream.
+struct LinkProxy {
+    address: SocketAddr,
+    links: watch::Sender<Links>,
+}
+
+impl LinkProxy {
+    async fn bind(upstream: SocketAddr) -> Self {
+        let listener = TcpListener::bind(any_port()).await.expect("a port is free");
+        let address = listener.local_addr().expect("a listener has an address");
+        let (links, watched) = watch::channel(Links::Sound);
+        tokio::spawn(pass_connections(listener, address, upstream, watched));
+        Self { address, links }
+    }
+}
+
+async fn pass_connections(
+    listener: TcpListener,
+    address: SocketAddr,
+    upstream: SocketAddr,
+    mut links: watch::Receiver<Links>,
+) {
+    let mut listener = Some(listener);
+    let mut connections = JoinSet::new();
+    loop {
+        let current = *links.borrow_and_update();
+        match current {
+            Links::Refused => {
+                listener = None;
+                connections.shutdown().await;
+            }
+            Links::RefusedIfNew => listener = None,
+            Links::Sound | Links::Silent => {}
+        }
+        if listener.is_none() && matches!(current, Links::Sound | Links::Silent) {
+            listener = Some(TcpListener::bind(address).await.expect("the port is free again"));
+        }
+        let Some(bound) = &listener else {
+            if links.changed().await.is_err() {
+                return;
+            }
+            continue;
+        };
+        tokio::select! {
+            accepted = bound.accept() => {
+                let (stream, _) = accepted.expect("connections can be accepted");
+                connections.spawn(pass(stream, upstream, links.clone()));
+            }
+            changed = links.changed() => if changed.is_err() {
+                return;
+            },
+        }
+    }
+}
+
+/// Copies both ways until the links fall silent; the connection then stays open.
+async fn pass(mut stream: TcpStream, upstream: SocketAddr, mut links: watch::Receiver<Links>) {
+    if *links.borrow() != Links::Silent
+        && let Ok(mut onward) = TcpStream::connect(upstream).await
+    {
+        tokio::select! {
+            _ = copy_bidirectional(&mut stream, &mut onward) => return,
+            _ = links.wait_for(|links| *links == Links::Silent) => {}
+        }
+    }
+    std::future::pending::<()>().await;
+}
+
+/// Two VMs that know each other, each with its own store; the first reaches the upstreams through
+/// proxies only.
+struct Pair {
+    cut: GatewayProcess,
+    sound: GatewayProcess,
+    proxies: Vec<LinkProxy>,
+    upstreams: Vec<Upstream>,
+    _stores: [PlatformStandin; 2],
+}
+
+impl Pair {
+    async fn start() -> Self {
+        let stores = [start_store(None).await, start_store(None).await];
+        let (mut proxies, mut upstreams) = (Vec::new(), Vec::new());
+        for number in 0..UPSTREAMS {
+            let upstream = Upstream::bind(Duration::from_millis(5)).await;
+            let proxy = LinkProxy::bind(upstream.address).await;
+            put_backend(&stores[0], number, proxy.address);
+            put_backend(&stores[1], number, upstream.address);
+            proxies.push(proxy);
+            upstreams.push(upstream);
+        }
+        let sound = GatewayProcess::start(stores[1].address()).await;
+        let listed = ListedVm {
+            address: sound.link_address,
+            data_centre: "a".to_owned(),
+            entry_vm: true,
+            state: ListedState::Live,
+        };
+        let client = PlatformStore::open(vec![stores[0].address()]);
+        client.register_vm(&listed).await.expect("the stand-in store takes writes");
+        let cut = GatewayProcess::start(stores[0].address()).await;
+        for vm in [&cut, &sound] {
+            vm.wait_until_served().await;
+            while !vm.names(cut.caller_address).await || !vm.names(sound.caller_address).await {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+        let pair = Self { cut, sound, proxies, upstreams, _stores: stores };
+        pair.count_served(pair.cut.caller_address, "warm").await;
+        pair
+    }
+
+    fn set_links(&self, links: Links) {
+        for proxy in &self.proxies {
+            proxy.links.send_replace(links);
+        }
+    }
+
+    /// Sends requests to a VM; returns how many are served within the callers' deadline.
+    async fn count_served(&self, address: SocketAddr, name: &str) -> usize {
+        let mut served = 0;
+        for number in 0..REQUESTS {
+            let id = format!("{name}-{number}");
+            let status = tokio::time::timeout(DEADLINE, exchange(address, &id)).await;
+            served += usize::from(status == Ok(Some(200)));
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        served
+    }
+
+    fn arrived(&self) -> usize {
+        self.upstreams.iter().map(Upstream::arrived).sum()
+    }
+}
+
+/// Sends one request on a new connection; returns the status.
+async fn exchange(address: SocketAddr, id: &str) -> Option<u16> {
+    let names = PlatformIngress::new();
+    let HeaderNames { request_id, remaining_ms, .. } = names.headers();
+    let request = format!(
+        "GET /read/x HTTP/1.1\r\nhost: a.example\r\n{request_id}: {id}\r\n\
+         {remaining_ms}: {}\r\nconnection: close\r\n\r\n",
+        DEADLINE.as_millis()
+    );
+    let mut stream = TcpStream::connect(address).await.ok()?;
+    stream.write_all(request.as_bytes()).await.ok()?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.ok()?;
+    answer.split(' ').nth(1)?.parse().ok()
+}
+
+async fn assert_served_while(links: Links) {
+    let pair = Pair::start().await;
+    pair.set_links(links);
+    tokio::time::sleep(CONTACT).await;
+
+    let served = pair.count_served(pair.cut.caller_address, "cut").await;
+    let by_other = pair.count_served(pair.sound.caller_address, "sound").await;
+
+    assert!(served * 3 >= by_other * 2, "{served} of {REQUESTS} served, {by_other} at the other");
+    pair.set_links(Links::Sound);
+    tokio::time::sleep(CONTACT).await;
+    let before = pair.arrived();
+    let after = pair.count_served(pair.cut.caller_address, "after").await;
+    assert!(after * 20 >= REQUESTS * 19, "{after} of {REQUESTS} served after the loss");
+    assert!(pair.arrived() >= before + after, "the upstreams got fewer requests than were served");
+}
+
+// Guards against a VM that keeps failing its callers' requests while another VM could serve them.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_vm_whose_links_fall_silent_serves_through_another_vm() {
+    assert_served_while(Links::Silent).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_vm_whose_links_are_refused_serves_through_another_vm() {
+    assert_served_while(Links::Refused).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_vm_whose_new_links_are_refused_serves_through_another_vm() {
+    assert_served_while(Links::RefusedIfNew).await;
+}
+
+// Guards against requests that wait for their deadline although no VM can serve them.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_vm_without_links_and_without_other_vms_refuses_at_once() {
+    let store = start_store(None).await;
+    for number in 0..UPSTREAMS {
+        let gone = TcpListener::bind(any_port()).await.expect("a port is free");
+        put_backend(&store, number, gone.local_addr().expect("a listener has an address"));
+    }
+    let vm = GatewayProcess::start(store.address()).await;
+    while exchange(vm.caller_address, "warm").await != Some(503) {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+
+    let started = Instant::now();
+    for number in 0..REQUESTS {
+        assert_eq!(exchange(vm.caller_address, &format!("r-{number}")).await, Some(503));
+    }
+
+    assert!(
+        started.elapsed() < DEADLINE * REQUESTS as u32,
+        "the refusals took as long as deadlines"
+    );
+}
--- a/crates/papayastack-daemon/tests/gateway/main.rs
+++ b/crates/papayastack-daemon/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! Tests `papayad gateway` as a process: terminated, killed, started during a store outage.
 
 mod limits;
+mod lost_links;
 mod soak;
 mod support;
 
--- a/crates/papayastack-daemon/tests/gateway/support.rs
+++ b/crates/papayastack-daemon/tests/gateway/support.rs
@@ -25,12 +25,18 @@
     let parsed = |text: &str| -> Value { serde_json::from_str(text).expect("fixtures are JSON") };
     store.put_object(&ObjectName::new("config", "main"), parsed(CONFIGURATION));
     if let Some(upstream) = upstream {
-        let entry = BACKEND.replace("ADDRESS", &upstream.address.to_string());
-        store.put_object(&ObjectName::new("servers", "i-1"), parsed(&entry));
+        put_backend(&store, 1, upstream.address);
     }
     store
 }
 
+/// Writes the entry of an upstream that is ready.
+pub(crate) fn put_backend(store: &PlatformStandin, number: usize, address: SocketAddr) {
+    let entry = BACKEND.replace("ADDRESS", &address.to_string());
+    let entry = serde_json::from_str(&entry).expect("fixtures are JSON");
+    store.put_object(&ObjectName::new("servers", format!("i-{number}")), entry);
+}
+
 pub(crate) fn any_port() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
@@ -156,6 +162,7 @@
     child: Child,
     lines: Lines<BufReader<ChildStdout>>,
     pub(crate) caller_address: SocketAddr,
+    pub(crate) link_address: SocketAddr,
     directory_address: SocketAddr,
 }
 
@@ -179,8 +186,9 @@
             text.and_then(|text| text.parse().ok()).expect("the line names the address")
         };
         let caller_address = address("caller_address");
+        let link_address = address("link_address");
         let directory_address = address("directory_address");
-        Self { child, lines, caller_address, directory_address }
+        Self { child, lines, caller_address, link_address, directory_address }
     }
 
     /// Sends requests until the upstream answers one.
