Let a leaving VM serve for one without links where no other does; prefer VMs that answer

Cause: only live members were taken; and a frozen VM was taken until membership declared it dead. Change: VMs that leave come last instead of never; a VM that has requests and answers none for 400 ms comes after others. One test is renamed and asks for more: VMs with older routes come before none, leaving ones last. Tests added: two VMs without links refuse at once and pass nothing on twice; an unsafe request runs at most once by way of another VM. Neither was seen failing: the mechanism was there before.

--- a/crates/papayastack-daemon/tests/gateway/lost_links.rs
+++ b/crates/papayastack-daemon/tests/gateway/lost_links.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use papayastack::{FeedStore, HeaderNames, IngressFormat, ListedState, ListedVm};
+use papayastack::{FeedStore, HeaderNames, IngressFormat, ListedState, ListedVm, ObjectName};
 use papayastack_platform::{PlatformIngress, PlatformStore};
 use papayastack_standin::PlatformStandin;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, copy_bidirectional};
@@ -11,7 +11,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
-use crate::support::{GatewayProcess, Upstream, any_port, put_backend, start_store};
+use crate::support::{CONFIGURATION, GatewayProcess, Upstream, any_port, put_backend, start_store};
 
 const UPSTREAMS: usize = 5;
 /// How long callers wait for an answer.
@@ -111,7 +111,15 @@
 
 impl Pair {
     async fn start() -> Self {
+        Self::start_with(CONFIGURATION.to_owned()).await
+    }
+
+    async fn start_with(configuration: String) -> Self {
         let stores = [start_store(None).await, start_store(None).await];
+        for store in &stores {
+            let configuration = serde_json::from_str(&configuration).expect("fixtures are JSON");
+            store.put_object(&ObjectName::new("config", "main"), configuration);
+        }
         let (mut proxies, mut upstreams) = (Vec::new(), Vec::new());
         for number in 0..UPSTREAMS {
             let upstream = Upstream::bind(Duration::from_millis(5)).await;
@@ -214,6 +222,40 @@
     assert_served_while(Links::RefusedIfNew).await;
 }
 
+// Guards against requests that are passed on in a circle, or wait, where no VM has links.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn two_vms_without_links_refuse_at_once_and_pass_nothing_on_twice() {
+    let pair = Pair::start().await;
+    pair.set_links(Links::Refused);
+    pair.upstreams.iter().for_each(Upstream::close);
+    for address in [pair.cut.caller_address, pair.sound.caller_address] {
+        pair.count_served(address, "unserved").await;
+    }
+
+    let started = Instant::now();
+    for number in 0..REQUESTS {
+        let vm = if number % 2 == 0 { &pair.cut } else { &pair.sound };
+        assert_eq!(exchange(vm.caller_address, &format!("r-{number}")).await, Some(503));
+    }
+
+    assert!(started.elapsed() < DEADLINE * REQUESTS as u32 / 4, "{:?}", started.elapsed());
+}
+
+// Guards against a second run of a request that must run at most once.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_that_runs_at_most_once_does_so_through_another_vm() {
+    let pair = Pair::start_with(CONFIGURATION.replace("\"safe\"", "\"unsafe\"")).await;
+    pair.set_links(Links::Refused);
+    pair.count_served(pair.cut.caller_address, "first").await;
+    let before = pair.arrived();
+
+    let served = pair.count_served(pair.cut.caller_address, "once").await;
+
+    assert!(served * 3 >= REQUESTS * 2, "{served} of {REQUESTS} served");
+    let arrived = pair.arrived() - before;
+    assert!(arrived <= REQUESTS, "{arrived} runs of {REQUESTS} requests");
+}
+
 // Guards against requests that wait for their deadline although no VM can serve them.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_vm_without_links_and_without_other_vms_refuses_at_once() {
--- a/crates/papayastack-daemon/tests/gateway/support.rs
+++ b/crates/papayastack-daemon/tests/gateway/support.rs
@@ -14,6 +14,7 @@
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader, Lines};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::process::{Child, ChildStdout, Command};
+use tokio::task::{AbortHandle, JoinSet};
 
 pub(crate) const CONFIGURATION: &str =
     include_str!("../../../../platform/tests/fixtures/configuration.json");
@@ -56,6 +57,7 @@
     pub(crate) address: SocketAddr,
     working: Arc<AtomicUsize>,
     arrivals: Arc<Mutex<Vec<Instant>>>,
+    accepting: AbortHandle,
 }
 
 impl Upstream {
@@ -76,13 +78,19 @@
         let working = Arc::new(AtomicUsize::new(0));
         let arrivals = Arc::new(Mutex::default());
         let (shared, counted) = (Arc::clone(&working), Arc::clone(&arrivals));
-        tokio::spawn(async move {
+        let accepting = tokio::spawn(async move {
+            let mut connections = JoinSet::new();
             while let Ok((stream, _)) = listener.accept().await {
                 let counts = (Arc::clone(&shared), Arc::clone(&counted));
-                tokio::spawn(serve(stream, request_duration, fields.clone(), counts));
+                connections.spawn(serve(stream, request_duration, fields.clone(), counts));
             }
         });
-        Self { address, working, arrivals }
+        Self { address, working, arrivals, accepting: accepting.abort_handle() }
+    }
+
+    /// Closes all connections and refuses new ones.
+    pub(crate) fn close(&self) {
+        self.accepting.abort();
     }
 
     /// Returns the number of requests that have arrived.
--- a/crates/papayastack/src/forward/relay.rs
+++ b/crates/papayastack/src/forward/relay.rs
@@ -32,6 +32,8 @@
 const CONNECTIONS_PER_PEER: u32 = 256;
 /// How long another VM counts as without links after it said so; it repeats that while it lasts.
 const PEER_LOST_HOLD: Duration = Duration::from_millis(1_500);
+/// How long a VM that serves for this one may answer nothing before others are preferred.
+const PEER_SILENT_MAX: Duration = Duration::from_millis(400);
 /// How long other VMs are preferred to one that did not answer.
 const PEER_TROUBLED_HOLD: Duration = Duration::from_secs(1);
 
@@ -87,7 +89,15 @@
 pub(crate) struct RelayPeers {
     lost_until: BTreeMap<VmAddress, Instant>,
     troubled_until: BTreeMap<VmAddress, Instant>,
-    in_flight: BTreeMap<VmAddress, u32>,
+    waiting: BTreeMap<VmAddress, Waiting>,
+}
+
+/// The requests that a VM serves for this one at present.
+#[derive(Debug)]
+struct Waiting {
+    in_flight: u32,
+    /// When the VM last answered one, or got one while it had none.
+    progress_at: Instant,
 }
 
 impl RelayPeers {
@@ -105,8 +115,38 @@
         self.troubled_until.insert(peer, now + PEER_TROUBLED_HOLD);
     }
 
-    /// Chooses the VM with fewer requests of this one in flight out of two random VMs that serve,
-    /// have links and are not in `tried`. VMs with older routes than `routes_version` come last.
+    /// Records the start of a request that a VM serves for this one.
+    fn request_sent(&mut self, peer: VmAddress, now: Instant) {
+        let idle = Waiting { in_flight: 0, progress_at: now };
+        let waiting = self.waiting.entry(peer).or_insert(idle);
+        if waiting.in_flight == 0 {
+            waiting.progress_at = now;
+        }
+        waiting.in_flight += 1;
+    }
+
+    /// Records the end of a request that a VM served for this one, answered or not.
+    fn request_ended(&mut self, peer: VmAddress, answered: bool, now: Instant) {
+        if let Some(waiting) = self.waiting.get_mut(&peer) {
+            waiting.in_flight = waiting.in_flight.saturating_sub(1);
+            if answered {
+                waiting.progress_at = now;
+            }
+        }
+    }
+
+    /// Tells whether a VM did not answer a moment ago, or has requests and answers none.
+    fn is_troubled(&self, peer: &VmAddress, now: Instant) -> bool {
+        let is_silent = self.waiting.get(peer).is_some_and(|waiting| {
+            waiting.in_flight > 0
+                && now.saturating_duration_since(waiting.progress_at) > PEER_SILENT_MAX
+        });
+        is_silent || self.troubled_until.get(peer).is_some_and(|until| *until > now)
+    }
+
+    /// Chooses the VM with fewer requests of this one in flight out of two random VMs that have
+    /// links and are not in `tried`. Preferred are VMs that answer, then those that do not leave,
+    /// then those whose routes are not older than `routes_version`.
     pub(crate) fn choose(
         &self,
         view: &MemberView,
@@ -116,23 +156,20 @@
         now: Instant,
         random: &mut impl Rng,
     ) -> Option<VmAddress> {
-        let is_held = |until: &BTreeMap<VmAddress, Instant>, peer: &VmAddress| {
-            until.get(peer).is_some_and(|until| *until > now)
-        };
         let serves = |member: &&Member| {
             let address = member.identity.address;
-            member.state == MemberState::Live
-                && member.configuration_version > 0
+            member.configuration_version > 0
                 && address != own
                 && !tried.contains(&address)
-                && !is_held(&self.lost_until, &address)
+                && self.lost_until.get(&address).is_none_or(|until| *until <= now)
         };
         let mut peers: Vec<VmAddress> =
             view.members.values().filter(serves).map(|member| member.identity.address).collect();
-        let version = |peer: &VmAddress| view.members[peer].configuration_version;
-        let is_current = |peer: &VmAddress| version(peer) >= routes_version;
-        let answers = |peer: &VmAddress| !is_held(&self.troubled_until, peer);
-        for preferred in [&answers as &dyn Fn(&VmAddress) -> bool, &is_current] {
+        let answers = |peer: &VmAddress| !self.is_troubled(peer, now);
+        let stays = |peer: &VmAddress| view.members[peer].state == MemberState::Live;
+        let is_current =
+            |peer: &VmAddress| view.members[peer].configuration_version >= routes_version;
+        for preferred in [&answers as &dyn Fn(&VmAddress) -> bool, &stays, &is_current] {
             if peers.iter().any(preferred) {
                 peers.retain(preferred);
             }
@@ -142,7 +179,8 @@
         }
         let mut draw = || peers[random.random_range(0..peers.len())];
         let (one, other) = (draw(), draw());
-        let in_flight = |peer: &VmAddress| self.in_flight.get(peer).copied().unwrap_or(0);
+        let in_flight =
+            |peer: &VmAddress| self.waiting.get(peer).map_or(0, |waiting| waiting.in_flight);
         Some(if in_flight(&other) < in_flight(&one) { other } else { one })
     }
 
@@ -150,7 +188,7 @@
     pub(crate) fn retain_members(&mut self, view: &MemberView) {
         self.lost_until.retain(|peer, _| view.members.contains_key(peer));
         self.troubled_until.retain(|peer, _| view.members.contains_key(peer));
-        self.in_flight.retain(|_, count| *count > 0);
+        self.waiting.retain(|_, waiting| waiting.in_flight > 0);
     }
 }
 
@@ -240,7 +278,7 @@
 
     async fn send(&self, peer: VmAddress) -> Result<RelayedReply, RelayFailure> {
         let started = Instant::now();
-        let _in_flight = InFlight::count(self.state, peer);
+        let mut in_flight = InFlight::start(self.state, peer);
         let exchanged = self.state.peer_pool.exchange(
             peer,
             CONNECTIONS_PER_PEER,
@@ -265,6 +303,8 @@
                 | ExchangeError::Withdrawn,
             ) => Err(RelayFailure::NotRun),
         };
+        in_flight.answered = result.is_ok();
+        drop(in_flight);
         self.log(peer, started, result.as_ref().ok().map(|(head, _)| head.status));
         let (head, body) = result?;
         // A response without the header is not from a VM that serves for others.
@@ -315,19 +355,18 @@
 struct InFlight<'a> {
     state: &'a ForwardState,
     peer: VmAddress,
+    answered: bool,
 }
 
 impl<'a> InFlight<'a> {
-    fn count(state: &'a ForwardState, peer: VmAddress) -> Self {
-        *state.peers().in_flight.entry(peer).or_default() += 1;
-        Self { state, peer }
+    fn start(state: &'a ForwardState, peer: VmAddress) -> Self {
+        state.peers().request_sent(peer, Instant::now());
+        Self { state, peer, answered: false }
     }
 }
 
 impl Drop for InFlight<'_> {
     fn drop(&mut self) {
-        if let Some(count) = self.state.peers().in_flight.get_mut(&self.peer) {
-            *count = count.saturating_sub(1);
-        }
+        self.state.peers().request_ended(self.peer, self.answered, Instant::now());
     }
 }
--- a/crates/papayastack/src/forward/tests/links.rs
+++ b/crates/papayastack/src/forward/tests/links.rs
@@ -196,7 +196,7 @@
 }
 
 #[test]
-fn vms_that_leave_or_have_no_or_older_routes_are_not_chosen() {
+fn vms_that_leave_or_have_no_or_older_routes_are_chosen_last_or_never() {
     let (peers, now) = (RelayPeers::default(), Instant::now());
     let mut view = view(5);
     view.members.get_mut(&address(2)).unwrap().state = MemberState::Leaving;
@@ -206,6 +206,10 @@
     let chosen = choices(&peers, &view, now);
 
     assert_eq!(chosen.keys().copied().collect::<Vec<_>>(), [address(5)]);
+    view.members.remove(&address(5));
+    assert_eq!(choices(&peers, &view, now).keys().copied().collect::<Vec<_>>(), [address(4)]);
+    view.members.remove(&address(4));
+    assert_eq!(choices(&peers, &view, now).keys().copied().collect::<Vec<_>>(), [address(2)]);
 }
 
 #[test]
