Bound the memory of replies that never end

Cause: a body was bounded to 8 MB, a head to about 400 KB by the library; nothing bounded all of them together, and a VM has 390 MB and dozens of attempts in flight. Change: bodies that are being read may hold 64 MB together; a head 64 KB. Whoever exceeds it ends as a lost answer, and its connection is closed. Evidence: 60 bodies of 7 MB that do not end hold 64 MB at most (the bound is new, so it was not seen failing).

--- a/crates/papayastack/src/forward/attempt.rs
+++ b/crates/papayastack/src/forward/attempt.rs
@@ -5,7 +5,7 @@
 
 use axum::http::{HeaderMap, HeaderValue, Method, StatusCode, Uri, header};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::Request;
 
 use super::interface::HeaderNames;
@@ -16,8 +16,6 @@
 use crate::settings::QueryClass;
 use crate::upstream::ExchangeError;
 
-/// The largest body of a reply in bytes; a larger one counts as malformed.
-pub(crate) const REPLY_BODY_MAX_BYTES: usize = 8 * 1024 * 1024;
 /// The longest time for which an upstream's refusal is heeded.
 const REFUSAL_MAX: Duration = Duration::from_secs(3_600);
 /// Hop-by-hop headers, which are not forwarded.
@@ -129,11 +127,11 @@
             return malformed("the reply carries the id of another request");
         }
         state.heed_reply(target, head.status, &head.headers, Instant::now());
-        let body = match Limited::new(body, REPLY_BODY_MAX_BYTES).collect().await {
-            Ok(body) => body.to_bytes(),
-            Err(error) => {
-                let lost = AttemptOutcome::Failed(FailureReason::AnswerLost);
-                return AttemptEnd::new(lost, format!("the reply's body ended early: {error}"));
+        let body = match state.unfinished_bodies.read(body).await {
+            Ok(body) => body,
+            // Dropping the lease closes the connection.
+            Err(detail) => {
+                return AttemptEnd::new(AttemptOutcome::Failed(FailureReason::AnswerLost), detail);
             }
         };
         if state.is_current(target) {
--- a/crates/papayastack/src/forward/mod.rs
+++ b/crates/papayastack/src/forward/mod.rs
@@ -7,6 +7,7 @@
 //! | `plan` | deadline, shards and fan-out rules of one request |
 //! | `exchange` | one request in flight: drives its fan-out with connections and timers |
 //! | `attempt` | one attempt at one upstream: the request sent and what the reply proves |
+//! | `reply_body` | reading of replies' bodies, with a bound on all of them |
 //! | `overload` | detection of overload, and the priority class of a route |
 //! | `records` | merging of the shards' parts, which are lists of opaque records |
 //! | `ingress` | the HTTP endpoints for callers |
@@ -42,6 +43,7 @@
 mod records;
 mod registry;
 mod relay;
+mod reply_body;
 mod response;
 mod route;
 mod settings;
--- a/crates/papayastack/src/forward/relay.rs
+++ b/crates/papayastack/src/forward/relay.rs
@@ -9,12 +9,12 @@
 
 use axum::http::{HeaderMap, HeaderName, HeaderValue, Request, StatusCode, Uri, header};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use papayastack_macros::{closed_set, message};
 use rand::Rng;
 use serde_json::json;
 
-use super::attempt::{CallerRequest, REPLY_BODY_MAX_BYTES, end_to_end_headers};
+use super::attempt::{CallerRequest, end_to_end_headers};
 use super::response::{RETRY_AFTER, RequestOutcome};
 use super::route::RequestKind;
 use super::state::ForwardState;
@@ -288,10 +288,10 @@
         let result = match exchanged.await {
             Ok((response, lease)) => {
                 let (head, body) = response.into_parts();
-                match Limited::new(body, REPLY_BODY_MAX_BYTES).collect().await {
+                match self.state.unfinished_bodies.read(body).await {
                     Ok(body) => {
                         lease.release(&head.headers);
-                        Ok((head, body.to_bytes()))
+                        Ok((head, body))
                     }
                     Err(_) => Err(RelayFailure::MayHaveRun),
                 }
--- a/crates/papayastack/src/forward/state.rs
+++ b/crates/papayastack/src/forward/state.rs
@@ -18,6 +18,7 @@
 use super::plan::replicas_of;
 use super::registry::{Registry, RegistryEvent, UpstreamSet, UpstreamTarget};
 use super::relay::RelayPeers;
+use super::reply_body::UnfinishedBodies;
 use super::route::{Route, RouteTable, SplitPart};
 use super::settings::GatewaySettings;
 use super::store_health::StoreHealth;
@@ -64,6 +65,7 @@
     pub(crate) log: Arc<DecisionLog>,
     /// The connections to other VMs that serve requests for this one.
     pub(crate) peer_pool: ConnectionPool,
+    pub(crate) unfinished_bodies: UnfinishedBodies,
     /// Whether this VM has lost its links to the upstreams.
     pub(crate) links_lost: watch::Sender<bool>,
     /// The requests that this VM serves for others at present.
@@ -108,6 +110,7 @@
             refuses_requests: AtomicBool::new(false),
             log,
             peer_pool: ConnectionPool::open(),
+            unfinished_bodies: UnfinishedBodies::default(),
             links_lost: watch::Sender::new(false),
             relayed_in_flight: AtomicUsize::new(0),
             link_address: OnceLock::new(),
--- a/crates/papayastack/src/forward/tests/mod.rs
+++ b/crates/papayastack/src/forward/tests/mod.rs
@@ -10,6 +10,7 @@
 mod plan;
 mod records;
 mod registry;
+mod reply_body;
 mod routes;
 mod settings;
 mod silence;
--- a/crates/papayastack/src/upstream/pool.rs
+++ b/crates/papayastack/src/upstream/pool.rs
@@ -31,6 +31,8 @@
 const UNACKNOWLEDGED_MAX: Duration = Duration::from_millis(2_000);
 /// The interval of the TCP keep-alive probes on a silent connection.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+/// The most bytes of a reply that are read ahead; a longer head ends the connection.
+const READ_BUFFER_MAX_BYTES: usize = 64 * 1024;
 /// The most idle connections that are checked for readiness before a new one is opened.
 const IDLE_CHECKED_MAX: usize = 8;
 
@@ -246,6 +248,7 @@
     let stream = TcpStream::connect(address).await.map_err(|error| error.to_string())?;
     set_socket_options(&stream).map_err(|error| error.to_string())?;
     let (sender, connection) = http1::Builder::new()
+        .max_buf_size(READ_BUFFER_MAX_BYTES)
         .handshake(TokioIo::new(stream))
         .await
         .map_err(|error| error.to_string())?;
