Take a repeat before a request that may have run goes to a further VM

What callers saw: nothing. Cause: found on reading: if another VM that served for this one broke off, a safe request went to a further one without a repeat from the budget, although the first may have sent it on. Change: one repeat for each shard, all or none, for both ways on which a request that may have run is sent again.

--- a/crates/papayastack/src/forward/ingress.rs
+++ b/crates/papayastack/src/forward/ingress.rs
@@ -223,7 +223,8 @@
     }
     let relay = |may_have_run: bool| {
         let request = &request;
-        RelayTask { state, request, kind: route.kind, deadline, may_have_run }.run()
+        let (kind, services) = (route.kind, &services);
+        RelayTask { state, request, kind, services, deadline, may_have_run }.run()
     };
     let relayed_share = state.links().relayed_share(Instant::now());
     let is_relayed =
@@ -274,10 +275,10 @@
     let outcome = request_outcome(route, end, Instant::now() >= deadline);
     let time_left = deadline.saturating_duration_since(Instant::now());
     let may_relay = origin == Origin::Caller && time_left >= RELAY_TIME_MIN;
-    match repeat_elsewhere(state, route, &services, &outcome).filter(|_| may_relay) {
-        Some(may_have_run) => (relay(may_have_run).await, slow_attempts),
-        None => (outcome, slow_attempts),
+    if may_relay && let Some(may_have_run) = repeat_elsewhere(state, route, &services, &outcome) {
+        return (relay(may_have_run).await, slow_attempts);
     }
+    (outcome, slow_attempts)
 }
 
 /// Decides whether another VM should serve a request that this one could not serve for lack of
@@ -298,9 +299,7 @@
         RequestOutcome::Failed { reply: None, .. }
             if are_lost && route.kind == RequestKind::Safe =>
         {
-            let windows = &mut state.decisions().budgets.windows;
-            let now = Instant::now();
-            services.iter().all(|service| windows.take_retry(service, now)).then_some(true)
+            state.decisions().take_repeats(services, Instant::now()).then_some(true)
         }
         _ => None,
     }
--- a/crates/papayastack/src/forward/relay.rs
+++ b/crates/papayastack/src/forward/relay.rs
@@ -19,7 +19,7 @@
 use super::route::RequestKind;
 use super::state::ForwardState;
 use crate::cbor;
-use crate::ids::VmAddress;
+use crate::ids::{ServiceName, VmAddress};
 use crate::membership::{Member, MemberState, MemberView};
 use crate::observe::DecisionEvent;
 use crate::upstream::ExchangeError;
@@ -206,6 +206,8 @@
     pub(crate) state: &'a ForwardState,
     pub(crate) request: &'a CallerRequest,
     pub(crate) kind: RequestKind,
+    /// The services of the request's shards, of which a repeat takes one repeat each.
+    pub(crate) services: &'a [ServiceName],
     pub(crate) deadline: Instant,
     /// Whether an attempt of this VM may have run the request.
     pub(crate) may_have_run: bool,
@@ -218,9 +220,6 @@
         let mut may_have_run = self.may_have_run;
         let mut refusal = None;
         while tried.len() < PEERS_TRIED_MAX && Instant::now() < self.deadline {
-            if may_have_run && self.kind == RequestKind::Unsafe {
-                break;
-            }
             let Some(peer) = self.choose(&tried) else { break };
             tried.push(peer);
             let sent = tokio::time::timeout_at(self.deadline.into(), self.send(peer)).await;
@@ -236,15 +235,26 @@
                         self.state.peers().record_trouble(peer, Instant::now());
                     }
                 },
-                Err(failure) => {
-                    may_have_run |= failure == RelayFailure::MayHaveRun;
+                Err(RelayFailure::NotRun) => {
                     self.state.peers().record_trouble(peer, Instant::now());
                 }
+                Err(RelayFailure::MayHaveRun) => {
+                    may_have_run = true;
+                    self.state.peers().record_trouble(peer, Instant::now());
+                    if !self.may_repeat() {
+                        break;
+                    }
+                }
             }
         }
         self.give_up(may_have_run, refusal)
     }
 
+    fn may_repeat(&self) -> bool {
+        self.kind == RequestKind::Safe
+            && self.state.decisions().take_repeats(self.services, Instant::now())
+    }
+
     fn choose(&self, tried: &[VmAddress]) -> Option<VmAddress> {
         let view = self.state.members.borrow().clone();
         let own = *self.state.link_address.get()?;
--- a/crates/papayastack/src/forward/state.rs
+++ b/crates/papayastack/src/forward/state.rs
@@ -445,6 +445,17 @@
             && observations.limits.confirm(upstream, chosen_at, urgency, now, random)
     }
 
+    /// Takes one repeat of each service, or none if a bound does not allow it.
+    pub(crate) fn take_repeats(&mut self, services: &[ServiceName], now: Instant) -> bool {
+        let windows = &mut self.budgets.windows;
+        let taken = services.iter().take_while(|service| windows.take_retry(service, now)).count();
+        let all = taken == services.len();
+        if !all {
+            services[..taken].iter().for_each(|service| windows.refund(service));
+        }
+        all
+    }
+
     /// Returns the limits that upstreams name.
     pub(crate) fn limits(&mut self) -> &mut RateLimits {
         &mut self.observations.limits
