End no unsafe request that was sent while its exchange waited for lost links

What callers saw: nothing. Cause: found on reading: whether a request was sent was looked at before the wait, not after it. Change: it is looked at again. Result: the process tests of lost links and the linter pass.

--- a/crates/papayastack/src/forward/exchange.rs
+++ b/crates/papayastack/src/forward/exchange.rs
@@ -127,7 +127,12 @@
                     self.on_attempt_end(ended);
                 }
                 () = tokio::time::sleep_until(wake) => self.on_tick(),
-                () = wait_until_lost(&mut links_lost), if may_end => return self.end_without_links(),
+                () = wait_until_lost(&mut links_lost), if may_end => {
+                    // An attempt may have been sent while this waited.
+                    if self.may_end_if_links_lost() {
+                        return self.end_without_links();
+                    }
+                }
             }
         }
         let slow_attempts = self.slow_attempts();
