Count the attempts of a request over both VMs that send it; take pauses for no lost links

Cause: a request that had been sent went to another VM, which began to count its attempts anew. It came to that because a shard that was down and upstreams that paused looked like lost links: silent for 25 to 63 ms. Change: the attempts that are left go with the request, and none is sent on without; a VM that broke off may have used all, so nothing follows. Silence must last 100 ms where connections can be made; refused ones still count after 25 ms.

--- a/crates/papayastack/src/forward/attempt.rs
+++ b/crates/papayastack/src/forward/attempt.rs
@@ -11,6 +11,7 @@
 use super::interface::HeaderNames;
 use super::links::LinkSign;
 use super::registry::UpstreamTarget;
+use super::relay::ATTEMPTS_HEADER;
 use super::state::ForwardState;
 use crate::query::{AttemptOutcome, FailureReason, MilliPerSecond, NotRunReason, UpstreamLoad};
 use crate::settings::QueryClass;
@@ -153,6 +154,7 @@
         let headers = outgoing.headers_mut();
         *headers = end_to_end_headers(&request.headers);
         headers.remove(header::CONTENT_LENGTH);
+        headers.remove(&ATTEMPTS_HEADER);
         headers.insert(names.remaining_ms.clone(), HeaderValue::from(remaining.as_millis() as u64));
         if let Ok(id) = HeaderValue::from_str(&target.id) {
             headers.insert(names.target_upstream.clone(), id);
--- a/crates/papayastack/src/forward/exchange.rs
+++ b/crates/papayastack/src/forward/exchange.rs
@@ -71,6 +71,8 @@
     pub(crate) failure: Option<UpstreamReply>,
     /// The number of attempts that may have run at an upstream without an answer.
     pub(crate) unresolved: u64,
+    /// The most attempts that were sent for one shard.
+    pub(crate) attempts_used: u32,
     /// A readable description of the last failure of an attempt; empty if none failed.
     pub(crate) last_problem: String,
     /// The attempts at the slowest shards, if the request was slow or lacks shards.
@@ -140,6 +142,7 @@
         self.task.state.metrics.repeats(counts);
         let end = ExchangeEnd {
             unresolved: counts.unresolved + self.gather.running() as u64,
+            attempts_used: self.gather.attempts_used(),
             parts: self.gather.take_parts(),
             failure: self.failure.take(),
             last_problem: std::mem::take(&mut self.last_problem),
@@ -165,6 +168,7 @@
         let running = self.gather.running() as u64;
         ExchangeEnd {
             unresolved: if was_sent { counts.unresolved + running } else { 0 },
+            attempts_used: if was_sent { self.gather.attempts_used() } else { 0 },
             parts: self.gather.take_parts(),
             failure: None,
             last_problem: "this VM has lost its links to the upstreams".to_owned(),
--- a/crates/papayastack/src/forward/ingress.rs
+++ b/crates/papayastack/src/forward/ingress.rs
@@ -20,7 +20,7 @@
 use super::exchange::{Exchange, ExchangeTask, SlowAttempt};
 use super::overload::{ShardLoad, classify_request, limit_name, route_class};
 use super::plan::{answer_deadline, gather_spec, services_of};
-use super::relay::{OUTCOME_HEADER, RelayOutcome, RelayTask};
+use super::relay::{ATTEMPTS_HEADER, OUTCOME_HEADER, RelayOutcome, RelayTask};
 use super::response::{
     NOT_SERVING_RETRY_AFTER, RETRY_AFTER, RequestOutcome, header_text, local_response,
     refusal_response, request_outcome,
@@ -221,16 +221,22 @@
         };
         return not_run(RETRY_AFTER, detail.to_owned());
     }
-    let relay = |may_have_run: bool| {
+    let attempts_max = match origin {
+        Origin::Caller => route.attempts_max,
+        Origin::Vm => header_text(&request.headers, &ATTEMPTS_HEADER)
+            .and_then(|value| value.parse().ok())
+            .map_or(route.attempts_max, |left: u32| left.min(route.attempts_max)),
+    };
+    let relay = |may_have_run: bool, attempts_used: u32| {
         let request = &request;
-        let (kind, services) = (route.kind, &services);
-        RelayTask { state, request, kind, services, deadline, may_have_run }.run()
+        let attempts_max = attempts_max.saturating_sub(attempts_used);
+        RelayTask { state, request, attempts_max, deadline, may_have_run }.run()
     };
     let relayed_share = state.links().relayed_share(Instant::now());
     let is_relayed =
         relayed_share > 0.0 && state.decisions().random.random::<f64>() < relayed_share;
     match origin {
-        Origin::Caller if is_relayed => return (relay(false).await, Vec::new()),
+        Origin::Caller if is_relayed => return (relay(false, 0).await, Vec::new()),
         Origin::Vm if relayed_share >= RELAYED_SHARE_TO_REFUSE => {
             let detail = "this VM has lost its links to the upstreams".to_owned();
             return (RequestOutcome::NotServing { detail }, Vec::new());
@@ -257,8 +263,9 @@
         }
     };
     let overloaded = state.decisions().admission.is_limiting(&permit.name, accepted);
-    let spec =
+    let mut spec =
         gather_spec(route, Arc::clone(&services), shards, accepted, deadline, overloaded, class);
+    spec.rules.attempts_max = attempts_max.max(1);
     let task = ExchangeTask {
         state: Arc::clone(state),
         upstreams,
@@ -272,11 +279,13 @@
     let loads = end.parts.iter().map(|(_, part)| shard_load(part));
     permit.finish(classify_request(loads, accepted.elapsed(), route.goal));
     let slow_attempts = std::mem::take(&mut end.slow_attempts);
+    let attempts_used = end.attempts_used;
     let outcome = request_outcome(route, end, Instant::now() >= deadline);
     let time_left = deadline.saturating_duration_since(Instant::now());
-    let may_relay = origin == Origin::Caller && time_left >= RELAY_TIME_MIN;
+    let may_relay =
+        origin == Origin::Caller && time_left >= RELAY_TIME_MIN && attempts_used < attempts_max;
     if may_relay && let Some(may_have_run) = repeat_elsewhere(state, route, &services, &outcome) {
-        return (relay(may_have_run).await, slow_attempts);
+        return (relay(may_have_run, attempts_used).await, slow_attempts);
     }
     (outcome, slow_attempts)
 }
--- a/crates/papayastack/src/forward/links.rs
+++ b/crates/papayastack/src/forward/links.rs
@@ -15,6 +15,8 @@
 /// The shortest time from the first failure on without a reply. Upstreams that reset connections
 /// often do so at once, and the replies of others follow.
 const QUIET_MIN: Duration = Duration::from_millis(25);
+/// The same where connections can be made or were not tried: several upstreams may pause at once.
+const SILENT_QUIET_MIN: Duration = Duration::from_millis(100);
 /// How many upstreams must reply, or accept a connection, before lost links count as regained.
 const REACHED_MIN: usize = 2;
 /// The share of requests that tries links on which connections can be opened again, until upstreams
@@ -156,7 +158,9 @@
             LinkState::Lost { .. } => return None,
             LinkState::Trial { since } => since,
             LinkState::Sound | LinkState::Returning { .. } => {
-                if quiet < QUIET_MIN || failing < FAILING_MIN.min(upstreams).max(1) {
+                let quiet_min =
+                    if self.refuse_connections(upstreams) { QUIET_MIN } else { SILENT_QUIET_MIN };
+                if quiet < quiet_min || failing < FAILING_MIN.min(upstreams).max(1) {
                     return None;
                 }
                 now
--- a/crates/papayastack/src/forward/relay.rs
+++ b/crates/papayastack/src/forward/relay.rs
@@ -16,16 +16,17 @@
 
 use super::attempt::{CallerRequest, end_to_end_headers};
 use super::response::{RETRY_AFTER, RequestOutcome};
-use super::route::RequestKind;
 use super::state::ForwardState;
 use crate::cbor;
-use crate::ids::{ServiceName, VmAddress};
+use crate::ids::VmAddress;
 use crate::membership::{Member, MemberState, MemberView};
 use crate::observe::DecisionEvent;
 use crate::upstream::ExchangeError;
 
 /// States the outcome on the way back between two VMs.
 pub(crate) const OUTCOME_HEADER: HeaderName = HeaderName::from_static("papaya-relay-outcome");
+/// Names the most attempts for one shard that the other VM may make.
+pub(crate) const ATTEMPTS_HEADER: HeaderName = HeaderName::from_static("papaya-relay-attempts");
 /// The most VMs that a request is sent to, one after the other, as long as none has run it.
 const PEERS_TRIED_MAX: usize = 3;
 /// The most connections to another VM.
@@ -205,16 +206,15 @@
 pub(crate) struct RelayTask<'a> {
     pub(crate) state: &'a ForwardState,
     pub(crate) request: &'a CallerRequest,
-    pub(crate) kind: RequestKind,
-    /// The services of the request's shards, of which a repeat takes one repeat each.
-    pub(crate) services: &'a [ServiceName],
+    /// The most attempts for one shard that are left.
+    pub(crate) attempts_max: u32,
     pub(crate) deadline: Instant,
     /// Whether an attempt of this VM may have run the request.
     pub(crate) may_have_run: bool,
 }
 
 impl RelayTask<'_> {
-    /// Sends the request to another VM, and to a further one while none has run it.
+    /// Sends the request to another VM, and to a further one while none can have run it.
     pub(crate) async fn run(self) -> RequestOutcome {
         let mut tried = Vec::new();
         let mut may_have_run = self.may_have_run;
@@ -239,22 +239,16 @@
                     self.state.peers().record_trouble(peer, Instant::now());
                 }
                 Err(RelayFailure::MayHaveRun) => {
+                    // It is not known how many attempts are left.
                     may_have_run = true;
                     self.state.peers().record_trouble(peer, Instant::now());
-                    if !self.may_repeat() {
-                        break;
-                    }
+                    break;
                 }
             }
         }
         self.give_up(may_have_run, refusal)
     }
 
-    fn may_repeat(&self) -> bool {
-        self.kind == RequestKind::Safe
-            && self.state.decisions().take_repeats(self.services, Instant::now())
-    }
-
     fn choose(&self, tried: &[VmAddress]) -> Option<VmAddress> {
         let view = self.state.members.borrow().clone();
         let own = *self.state.link_address.get()?;
@@ -337,6 +331,7 @@
         *headers = end_to_end_headers(&self.request.headers);
         headers.remove(header::CONTENT_LENGTH);
         headers.insert(names.remaining_ms.clone(), HeaderValue::from(remaining.as_millis() as u64));
+        headers.insert(ATTEMPTS_HEADER, HeaderValue::from(self.attempts_max));
         outgoing
     }
 
--- a/crates/papayastack/src/query/gather.rs
+++ b/crates/papayastack/src/query/gather.rs
@@ -177,6 +177,11 @@
         released
     }
 
+    /// Returns the most attempts that were sent for one shard.
+    pub(crate) fn attempts_used(&self) -> u32 {
+        self.progress.iter().map(|progress| progress.sends).max().unwrap_or(0)
+    }
+
     /// Returns how many attempts run.
     pub fn running(&self) -> usize {
         self.attempts.iter().filter(|attempt| attempt.running).count()
