--- a/crates/papayastack-daemon/tests/gateway/lost_links.rs
+++ b/crates/papayastack-daemon/tests/gateway/lost_links.rs
@@ -1,6 +1,8 @@
 //! A VM that loses its links to all upstreams, while callers, the store and another VM reach it.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use papayastack::{FeedStore, HeaderNames, IngressFormat, ListedState, ListedVm, ObjectName};
@@ -11,7 +13,9 @@
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
-use crate::support::{CONFIGURATION, GatewayProcess, Upstream, any_port, put_backend, start_store};
+use crate::support::{
+    CONFIGURATION, GatewayProcess, Upstream, any_port, put_backend, read_head, start_store,
+};
 
 const UPSTREAMS: usize = 5;
 /// How long callers wait for an answer.
@@ -279,3 +283,42 @@
         "the refusals took as long as deadlines"
     );
 }
+
+// Guards against a request that takes all attempts of its route at each of two VMs.
+#[tokio::test]
+async fn a_vm_that_serves_for_another_makes_no_more_attempts_than_are_left() {
+    let store = start_store(None).await;
+    let attempts = Arc::new(AtomicUsize::new(0));
+    for number in 0..UPSTREAMS {
+        let listener = TcpListener::bind(any_port()).await.expect("a port is free");
+        put_backend(&store, number, listener.local_addr().expect("a listener has an address"));
+        tokio::spawn(close_after_head(listener, Arc::clone(&attempts)));
+    }
+    let vm = GatewayProcess::start(store.address()).await;
+    while exchange(vm.caller_address, "warm").await != Some(502) {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+
+    let before = attempts.load(Ordering::Acquire);
+    let head = format!(
+        "GET /read/x HTTP/1.1\r\nhost: a.example\r\n{}: the-id\r\npapaya-relay-attempts: 1\r\n\
+         connection: close\r\n\r\n",
+        PlatformIngress::new().headers().request_id
+    );
+    let mut stream = TcpStream::connect(vm.link_address).await.expect("the VM listens");
+    stream.write_all(head.as_bytes()).await.expect("the VM reads");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.expect("the VM responds");
+
+    assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
+    assert_eq!(attempts.load(Ordering::Acquire) - before, 1);
+}
+
+/// Counts each request and closes its connection without a reply.
+async fn close_after_head(listener: TcpListener, attempts: Arc<AtomicUsize>) {
+    while let Ok((mut stream, _)) = listener.accept().await {
+        if read_head(&mut stream).await.is_some() {
+            attempts.fetch_add(1, Ordering::AcqRel);
+        }
+    }
+}
