Log why no further attempt was made for a shard

Cause: not known from the logs; `request_failed` did not say why no attempt followed. Change: the state machine of a request keeps the reason for each shard that it gives up (no replica, may have run, attempts used up, repeats used up, request ended); lines about requests that failed, were refused or lack shards carry the counts as `no_retry`. Evidence: tests of forward::tests::fan_out, one for each way of giving up. They could not be run on the code before, which has no such value.

--- a/crates/papayastack/src/forward/exchange.rs
+++ b/crates/papayastack/src/forward/exchange.rs
@@ -1,5 +1,6 @@
 //! One request in flight: drives the request's [`Gather`] with connections and timers.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
@@ -18,7 +19,7 @@
 use crate::observe::DecisionEvent;
 use crate::query::{
     AttemptOutcome, AttemptTrace, Command, FailureReason, Gather, GatherSpec, GatheredPart,
-    NotRunReason,
+    NoRetryReason, NotRunReason,
 };
 use crate::routing::UpstreamIndex;
 use crate::settings::QueryClass;
@@ -75,6 +76,8 @@
     pub(crate) attempts_used: u32,
     /// A readable description of the last failure of an attempt; empty if none failed.
     pub(crate) last_problem: String,
+    /// How many shards were given up, by the reason why no further attempt was made.
+    pub(crate) given_up: BTreeMap<NoRetryReason, u32>,
     /// The attempts at the slowest shards, if the request was slow or lacks shards.
     pub(crate) slow_attempts: Vec<SlowAttempt>,
 }
@@ -146,6 +149,7 @@
             parts: self.gather.take_parts(),
             failure: self.failure.take(),
             last_problem: std::mem::take(&mut self.last_problem),
+            given_up: self.gather.given_up().clone(),
             slow_attempts,
         };
         if self.gather.running() > 0 {
@@ -172,6 +176,7 @@
             parts: self.gather.take_parts(),
             failure: None,
             last_problem: "this VM has lost its links to the upstreams".to_owned(),
+            given_up: self.gather.given_up().clone(),
             slow_attempts: Vec::new(),
         }
     }
--- a/crates/papayastack/src/forward/ingress.rs
+++ b/crates/papayastack/src/forward/ingress.rs
@@ -33,6 +33,7 @@
 use crate::membership::MemberView;
 use crate::observe::DecisionEvent;
 use crate::outcome::MissingReason;
+use crate::query::NoRetryReason;
 use crate::settings::QueryClass;
 
 /// How long callers may use an answer with addresses: long enough that asking costs little, short
@@ -54,6 +55,15 @@
     Vm,
 }
 
+/// What the log says about the way of a request beside its outcome.
+#[derive(Debug, Default)]
+struct RequestTrace {
+    /// The attempts at the slowest shards, if the request was slow or lacks shards.
+    slow_attempts: Vec<SlowAttempt>,
+    /// How many shards were given up, by the reason why no further attempt was made.
+    given_up: BTreeMap<NoRetryReason, u32>,
+}
+
 /// Returns the router that forwards callers' requests, whatever their path.
 pub(crate) fn caller_router(state: Arc<ForwardState>) -> Router {
     Router::new().fallback(forward_for_caller).with_state(state)
@@ -161,9 +171,8 @@
         Ok(request) => Arc::new(request),
         Err(response) => return *response,
     };
-    let (outcome, slow_attempts) =
-        run_request(state, &route, Arc::clone(&request), accepted, origin).await;
-    log_outcome(state, &route, &request, &outcome, &slow_attempts, accepted.elapsed());
+    let (outcome, trace) = run_request(state, &route, Arc::clone(&request), accepted, origin).await;
+    log_outcome(state, &route, &request, &outcome, &trace, accepted.elapsed());
     respond(state, outcome, Some(&route), origin)
 }
 
@@ -188,7 +197,7 @@
     request: Arc<CallerRequest>,
     accepted: Instant,
     origin: Origin,
-) -> (RequestOutcome, Vec<SlowAttempt>) {
+) -> (RequestOutcome, RequestTrace) {
     let Some(upstreams) = state.upstreams.borrow().clone() else {
         let detail = "the upstreams are not known yet".to_owned();
         return not_run(NOT_SERVING_RETRY_AFTER, detail);
@@ -236,10 +245,10 @@
     let is_relayed =
         relayed_share > 0.0 && state.decisions().random.random::<f64>() < relayed_share;
     match origin {
-        Origin::Caller if is_relayed => return (relay(false, 0).await, Vec::new()),
+        Origin::Caller if is_relayed => return (relay(false, 0).await, RequestTrace::default()),
         Origin::Vm if relayed_share >= RELAYED_SHARE_TO_REFUSE => {
             let detail = "this VM has lost its links to the upstreams".to_owned();
-            return (RequestOutcome::NotServing { detail }, Vec::new());
+            return (RequestOutcome::NotServing { detail }, RequestTrace::default());
         }
         Origin::Caller | Origin::Vm => {}
     }
@@ -278,16 +287,19 @@
     let mut end = Exchange::start(task, spec).run().await;
     let loads = end.parts.iter().map(|(_, part)| shard_load(part));
     permit.finish(classify_request(loads, accepted.elapsed(), route.goal));
-    let slow_attempts = std::mem::take(&mut end.slow_attempts);
+    let trace = RequestTrace {
+        slow_attempts: std::mem::take(&mut end.slow_attempts),
+        given_up: std::mem::take(&mut end.given_up),
+    };
     let attempts_used = end.attempts_used;
     let outcome = request_outcome(route, end, Instant::now() >= deadline);
     let time_left = deadline.saturating_duration_since(Instant::now());
     let may_relay =
         origin == Origin::Caller && time_left >= RELAY_TIME_MIN && attempts_used < attempts_max;
     if may_relay && let Some(may_have_run) = repeat_elsewhere(state, route, &services, &outcome) {
-        return (relay(may_have_run, attempts_used).await, slow_attempts);
+        return (relay(may_have_run, attempts_used).await, trace);
     }
-    (outcome, slow_attempts)
+    (outcome, trace)
 }
 
 /// Decides whether another VM should serve a request that this one could not serve for lack of
@@ -314,8 +326,8 @@
     }
 }
 
-fn not_run(retry_after: Duration, detail: String) -> (RequestOutcome, Vec<SlowAttempt>) {
-    (RequestOutcome::NotRun { retry_after, detail }, Vec::new())
+fn not_run(retry_after: Duration, detail: String) -> (RequestOutcome, RequestTrace) {
+    (RequestOutcome::NotRun { retry_after, detail }, RequestTrace::default())
 }
 
 /// A permit for one request in flight; dropping it without [`Self::finish`] releases it as
@@ -417,7 +429,7 @@
     route: &Route,
     request: &CallerRequest,
     outcome: &RequestOutcome,
-    slow_attempts: &[SlowAttempt],
+    trace: &RequestTrace,
     elapsed: Duration,
 ) {
     let served = if elapsed > route.goal {
@@ -462,8 +474,11 @@
         if !detail.is_empty() {
             fields["detail"] = json!(detail);
         }
-        if !slow_attempts.is_empty() {
-            fields["waited_for"] = json!(slow_attempts);
+        if !trace.slow_attempts.is_empty() {
+            fields["waited_for"] = json!(trace.slow_attempts);
+        }
+        if !trace.given_up.is_empty() {
+            fields["no_retry"] = json!(trace.given_up);
         }
         if let RequestOutcome::Merged { parts, missing } = outcome {
             fields["shards"] = json!(parts.len());
--- a/crates/papayastack/src/forward/tests/fan_out.rs
+++ b/crates/papayastack/src/forward/tests/fan_out.rs
@@ -8,8 +8,8 @@
 
 use crate::query::{
     AttemptOutcome, Budgets, Command, EarlyFinish, FailureReason, FanoutContext, Gather,
-    GatherRules, GatherSpec, NotRunReason, Observations, OnExhausted, QuantileTracker, RetryPolicy,
-    UnneededAttempts, UpstreamLoad,
+    GatherRules, GatherSpec, NoRetryReason, NotRunReason, Observations, OnExhausted,
+    QuantileTracker, RepeatWindowSettings, RetryPolicy, UnneededAttempts, UpstreamLoad,
 };
 use crate::routing::{ShardReplicas, UpstreamIndex};
 use crate::settings::{ClassSettings, QueryClass, RoutingSettings};
@@ -292,3 +292,54 @@
     assert_eq!(near_choices(0), 100);
     assert!(near_choices(8) < 10);
 }
+
+/// Returns the reason why a request to one shard was given up after `replies` to its attempts.
+fn reason_to_give_up(
+    harness: &mut Harness,
+    rules: GatherRules,
+    replies: &[AttemptOutcome<&'static str>],
+) -> Vec<NoRetryReason> {
+    let (mut gather, mut commands) = harness.start(spec(harness, 1, rules));
+    for reply in replies {
+        commands = harness.reply(&mut gather, sends(&commands)[0].0, reply.clone());
+    }
+    assert!(gather.is_finished());
+    gather.given_up().keys().copied().collect()
+}
+
+#[test]
+fn a_request_without_a_further_attempt_says_why() {
+    let once = GatherRules { retry_policy: RetryPolicy::OnlyIfNotRun, ..rules() };
+    let many = GatherRules { attempts_max: 9, ..rules() };
+
+    let used_up = reason_to_give_up(&mut Harness::new(), rules(), &[LOST, LOST]);
+    let may_have_run = reason_to_give_up(&mut Harness::new(), once, &[LOST]);
+    let no_replica = reason_to_give_up(&mut Harness::new(), many, &[LOST, LOST, LOST]);
+
+    assert_eq!(used_up, [NoRetryReason::AttemptsUsedUp]);
+    assert_eq!(may_have_run, [NoRetryReason::MayHaveRun]);
+    assert_eq!(no_replica, [NoRetryReason::NoReplica]);
+}
+
+#[test]
+fn a_request_says_that_the_bound_on_repeats_is_reached() {
+    let mut harness = Harness::new();
+    let window = Duration::from_secs(10);
+    let bound = RepeatWindowSettings { window, repeats_permille: 0, repeats_extra: 0 };
+    harness.budgets.windows.configure(bound, 4);
+    let services = Some(Arc::from(["archive".to_owned()]));
+
+    let reasons = reason_to_give_up(&mut harness, GatherRules { services, ..rules() }, &[LOST]);
+
+    assert_eq!(reasons, [NoRetryReason::RepeatsUsedUp]);
+}
+
+#[test]
+fn a_request_says_that_its_time_ended() {
+    let mut harness = Harness::new();
+    let (mut gather, _) = harness.start(spec(&harness, 1, rules()));
+
+    harness.advance(&mut gather, Duration::from_secs(1));
+
+    assert_eq!(gather.given_up().keys().collect::<Vec<_>>(), [&NoRetryReason::RequestEnded]);
+}
--- a/crates/papayastack/src/lib.rs
+++ b/crates/papayastack/src/lib.rs
@@ -111,8 +111,8 @@
 pub use query::{
     AttemptOutcome, AttemptTrace, Budgets, Command, EarlyFinish, FailureReason, Fanout,
     FanoutContext, FanoutCounts, FanoutSpec, Gather, GatherRules, GatherSpec, GatheredPart,
-    NotRunReason, Observations, OnExhausted, QuantileTracker, RepeatWindowSettings, RepeatWindows,
-    RetryPolicy, SilenceHold, UnneededAttempts, UpstreamLoad,
+    NoRetryReason, NotRunReason, Observations, OnExhausted, QuantileTracker, RepeatWindowSettings,
+    RepeatWindows, RetryPolicy, SilenceHold, UnneededAttempts, UpstreamLoad,
 };
 pub use routing::{
     DataCentreIndex, Directory, DirectoryResolver, OWNERS_KEPT, OwnerTable, Owners, OwnersKey,
--- a/crates/papayastack/src/query/gather.rs
+++ b/crates/papayastack/src/query/gather.rs
@@ -1,6 +1,6 @@
 //! The state machine of one scatter-gather request: attempts, hedges and retries for each shard.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use rand::Rng;
@@ -11,8 +11,8 @@
 use super::progress::{Attempt, ShardProgress, ShardState};
 use super::quantile::QuantileTracker;
 use super::spec::{
-    AttemptTrace, Command, FanoutContext, FanoutCounts, GatherRules, GatherSpec, OnExhausted,
-    RetryPolicy, UnneededAttempts,
+    AttemptTrace, Command, FanoutContext, FanoutCounts, GatherRules, GatherSpec, NoRetryReason,
+    OnExhausted, RetryPolicy, UnneededAttempts,
 };
 use crate::ids::{AttemptId, ShardId};
 use crate::outcome::MissingReason;
@@ -44,6 +44,7 @@
     answered_shards: usize,
     early_finish_reached: bool,
     counts: FanoutCounts,
+    given_up: BTreeMap<NoRetryReason, u32>,
 }
 
 impl<P> Gather<P> {
@@ -66,6 +67,7 @@
             answered_shards: 0,
             early_finish_reached: false,
             counts: FanoutCounts { needed: shards as u64, ..FanoutCounts::default() },
+            given_up: BTreeMap::new(),
             spec,
         };
         let mut commands = Vec::with_capacity(shards);
@@ -158,6 +160,11 @@
         &self.counts
     }
 
+    /// Returns how many shards were given up, by the reason why no further attempt was made.
+    pub fn given_up(&self) -> &BTreeMap<NoRetryReason, u32> {
+        &self.given_up
+    }
+
     /// Marks the running attempts as cancelled and returns them for the caller to cancel.
     pub fn abandon<R: Rng>(
         &mut self,
@@ -242,7 +249,7 @@
     ) {
         if self.spec.shards[shard].replicas.is_empty() {
             self.progress[shard].missing_reason = MissingReason::NoReplica;
-            self.give_up(shard);
+            self.give_up(shard, NoRetryReason::NoReplica);
             return;
         }
         if self.spec.routing.policy == RoutingPolicy::Naive {
@@ -258,7 +265,7 @@
             OnExhausted::PauseAndRetry => self.schedule_retry(shard, context),
             OnExhausted::GiveUp => {
                 self.progress[shard].missing_reason = MissingReason::ReplicasUnavailable;
-                self.give_up(shard);
+                self.give_up(shard, NoRetryReason::NoReplica);
             }
         }
     }
@@ -344,7 +351,7 @@
         if let AttemptOutcome::NotRun(NotRunReason::SnapshotRetired) = outcome {
             progress.retired_replicas += 1;
             if progress.retired_replicas >= self.spec.shards[shard].replicas.len() {
-                self.give_up(shard);
+                self.give_up(shard, NoRetryReason::NoReplica);
                 commands.push(Command::SnapshotGone);
                 return;
             }
@@ -357,8 +364,12 @@
             RetryPolicy::OnlyIfNotRun => matches!(outcome, AttemptOutcome::NotRun(_)),
         };
         let naive = self.spec.routing.policy == RoutingPolicy::Naive;
-        if naive || !may_retry || self.attempts_are_used_up(shard) {
-            self.give_up(shard);
+        if !may_retry {
+            self.give_up(shard, NoRetryReason::MayHaveRun);
+            return;
+        }
+        if naive || self.attempts_are_used_up(shard) {
+            self.give_up(shard, NoRetryReason::AttemptsUsedUp);
             return;
         }
         self.retry(shard, outcome, context, commands);
@@ -391,7 +402,8 @@
         }
         match self.spec.rules.on_exhausted {
             OnExhausted::PauseAndRetry => self.schedule_retry(shard, context),
-            OnExhausted::GiveUp => self.give_up(shard),
+            OnExhausted::GiveUp if paid => self.give_up(shard, NoRetryReason::NoReplica),
+            OnExhausted::GiveUp => self.give_up(shard, NoRetryReason::RepeatsUsedUp),
         }
     }
 
@@ -622,15 +634,16 @@
                 if self.progress[shard].running > 0 {
                     self.progress[shard].missing_reason = MissingReason::DeadlineExceeded;
                 }
-                self.give_up(shard);
+                self.give_up(shard, NoRetryReason::RequestEnded);
                 self.cancel_running(shard, context, commands);
             }
         }
         self.finish_if_done(commands);
     }
 
-    fn give_up(&mut self, shard: usize) {
+    fn give_up(&mut self, shard: usize, reason: NoRetryReason) {
         self.progress[shard].state = ShardState::GivenUp;
+        *self.given_up.entry(reason).or_default() += 1;
         self.close_shard(shard);
     }
 
--- a/crates/papayastack/src/query/mod.rs
+++ b/crates/papayastack/src/query/mod.rs
@@ -29,6 +29,6 @@
 pub use silence::SilenceHold;
 pub use spec::{
     AttemptTrace, Command, EarlyFinish, FanoutContext, FanoutCounts, FanoutSpec, GatherRules,
-    GatherSpec, OnExhausted, RetryPolicy, UnneededAttempts,
+    GatherSpec, NoRetryReason, OnExhausted, RetryPolicy, UnneededAttempts,
 };
 pub use windows::{RepeatWindowSettings, RepeatWindows};
--- a/crates/papayastack/src/query/spec.rs
+++ b/crates/papayastack/src/query/spec.rs
@@ -99,6 +99,21 @@
     GiveUp,
 }
 
+/// Why no further attempt was made for a shard without an answer.
+#[closed_set]
+pub enum NoRetryReason {
+    /// The shard has no replica, or none that is untried and takes a request now.
+    NoReplica,
+    /// The last attempt may have run, and the request must not run twice.
+    MayHaveRun,
+    /// As many attempts as the request allows have been made.
+    AttemptsUsedUp,
+    /// The bound on the repeats of the shard's service is reached.
+    RepeatsUsedUp,
+    /// The request ended before its shard had an answer.
+    RequestEnded,
+}
+
 /// Allows a request to finish before its deadline with only some of its shards answered.
 #[value]
 #[derive(Copy)]
