Send through an owner of the upstream where a VM has no connection free

Ruled out: sharing by leases in the store (a call for each change of demand, and the store may be away); a seat for each VM at one replica of a shard (no second replica for hedges and retries, one request at a time); whole requests served by another VM (no VM has connections to all shards). A VM without a free connection sends the attempt to an owner by the internal address (`forward::through_owner`): one hop, id, host, deadline and the upstream's reply unchanged; "not sent" is told apart from "may have run". What an owner surely did not send goes to a second owner. Connections beyond the share are closed when the members change.

--- a/crates/papayastack-daemon/tests/gateway/main.rs
+++ b/crates/papayastack-daemon/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod lost_links;
 mod soak;
 mod support;
+mod through_owner;
 
 use std::time::Duration;
 
--- a/crates/papayastack/src/forward/attempt.rs
+++ b/crates/papayastack/src/forward/attempt.rs
@@ -10,9 +10,11 @@
 
 use super::interface::HeaderNames;
 use super::links::LinkSign;
+use super::owners::UpstreamAccess;
 use super::registry::UpstreamTarget;
 use super::relay::ATTEMPTS_HEADER;
 use super::state::ForwardState;
+use super::through_owner::UPSTREAM_HEADER;
 use crate::query::{AttemptOutcome, FailureReason, MilliPerSecond, NotRunReason, UpstreamLoad};
 use crate::settings::QueryClass;
 use crate::upstream::ExchangeError;
@@ -72,8 +74,8 @@
     pub(crate) state: &'a ForwardState,
     pub(crate) request: &'a CallerRequest,
     pub(crate) target: &'a UpstreamTarget,
-    /// The largest number of connections that this VM may open to the target.
-    pub(crate) connections_max: u32,
+    /// The ways of this VM to the target.
+    pub(crate) access: &'a UpstreamAccess,
     pub(crate) deadline: Instant,
     /// The class of the request.
     pub(crate) class: QueryClass,
@@ -89,7 +91,9 @@
         match tokio::time::timeout_at(self.deadline.into(), self.exchange()).await {
             Ok(end) => end,
             Err(_elapsed) => {
-                self.state.record_link_sign(self.target, LinkSign::Silent);
+                if self.access.connections_max > 0 {
+                    self.state.record_link_sign(self.target, LinkSign::Silent);
+                }
                 let late = AttemptOutcome::Failed(FailureReason::DeadlineExceeded);
                 AttemptEnd::new(late, "no reply before the deadline")
             }
@@ -97,17 +101,44 @@
     }
 
     async fn exchange(&self) -> AttemptEnd {
-        let Self { state, request, target, connections_max, class, chosen_at, .. } = *self;
+        match self.reply().await {
+            Ok(reply) => {
+                let names = self.state.format.headers();
+                AttemptEnd { load: reply.load, ..classify_reply(names, reply) }
+            }
+            Err(end) => end,
+        }
+    }
+
+    /// Returns the target's reply, on a connection of this VM or else through an owner.
+    async fn reply(&self) -> Result<UpstreamReply, AttemptEnd> {
+        match self.direct_reply().await {
+            Err(error) if error == ExchangeError::NoConnectionFree => {}
+            Err(error) => return Err(end_without_reply(error)),
+            Ok(end) => return end,
+        }
+        if self.access.owners.is_empty() {
+            return Err(end_without_reply(ExchangeError::NoConnectionFree));
+        }
+        let reply = self.reply_through_owner().await?;
+        self.state.heed_reply(self.target, reply.status, &reply.headers, Instant::now());
+        Ok(reply)
+    }
+
+    /// Returns the target's reply on a connection of this VM, or the end of the attempt.
+    ///
+    /// # Errors
+    /// Fails if there is no reply.
+    pub(crate) async fn direct_reply(
+        &self,
+    ) -> Result<Result<UpstreamReply, AttemptEnd>, ExchangeError> {
+        let Self { state, request, target, .. } = *self;
         let names = state.format.headers();
         let exchanged = state.pool.exchange(
             target.address,
-            connections_max,
+            self.access.connections_max,
             self.outgoing_request(names),
-            || {
-                let may_send = state.may_send_to(target, class, chosen_at);
-                self.sent.fetch_or(may_send, Ordering::AcqRel);
-                may_send
-            },
+            || self.may_send(),
         );
         let (response, lease) = match exchanged.await {
             Ok(replied) => replied,
@@ -115,7 +146,7 @@
                 if let Some(sign) = link_sign(&error) {
                     state.record_link_sign(target, sign);
                 }
-                return end_without_reply(error);
+                return Err(error);
             }
         };
         if lease.is_new() {
@@ -125,25 +156,33 @@
         let (head, body) = response.into_parts();
         if head.headers.get(&names.request_id).is_some_and(|id| *id != request.request_id) {
             // The reply is to an earlier request; dropping the lease closes the connection.
-            return malformed("the reply carries the id of another request");
+            return Ok(Err(malformed("the reply carries the id of another request")));
         }
         state.heed_reply(target, head.status, &head.headers, Instant::now());
         let body = match state.unfinished_bodies.read(body).await {
             Ok(body) => body,
             // Dropping the lease closes the connection.
             Err(detail) => {
-                return AttemptEnd::new(AttemptOutcome::Failed(FailureReason::AnswerLost), detail);
+                let lost = AttemptOutcome::Failed(FailureReason::AnswerLost);
+                return Ok(Err(AttemptEnd::new(lost, detail)));
             }
         };
         if state.is_current(target) {
             lease.release(&head.headers);
         }
         let load = parse_load(names, &head.headers);
-        let reply = UpstreamReply { status: head.status, headers: head.headers, body, load };
-        AttemptEnd { load, ..classify_reply(names, reply) }
+        Ok(Ok(UpstreamReply { status: head.status, headers: head.headers, body, load }))
+    }
+
+    /// Tells whether the request may be sent now; if so, it counts as sent.
+    pub(crate) fn may_send(&self) -> bool {
+        let may_send = self.state.may_send_to(self.target, self.class, self.chosen_at);
+        self.sent.fetch_or(may_send, Ordering::AcqRel);
+        may_send
     }
 
-    fn outgoing_request(&self, names: &HeaderNames) -> Request<Full<Bytes>> {
+    /// Returns the request as the target gets it.
+    pub(crate) fn outgoing_request(&self, names: &HeaderNames) -> Request<Full<Bytes>> {
         let Self { request, target, .. } = *self;
         let remaining = self.deadline.saturating_duration_since(Instant::now());
         let path = request.uri.path_and_query().map_or("/", |path| path.as_str());
@@ -155,6 +194,7 @@
         *headers = end_to_end_headers(&request.headers);
         headers.remove(header::CONTENT_LENGTH);
         headers.remove(&ATTEMPTS_HEADER);
+        headers.remove(&UPSTREAM_HEADER);
         headers.insert(names.remaining_ms.clone(), HeaderValue::from(remaining.as_millis() as u64));
         if let Ok(id) = HeaderValue::from_str(&target.id) {
             headers.insert(names.target_upstream.clone(), id);
@@ -205,7 +245,8 @@
     }
 }
 
-fn end_without_reply(error: ExchangeError) -> AttemptEnd {
+/// Returns the end of an attempt without a reply.
+pub(crate) fn end_without_reply(error: ExchangeError) -> AttemptEnd {
     match error {
         ExchangeError::NotConnected { detail } => {
             AttemptEnd::new(AttemptOutcome::NotRun(NotRunReason::ConnectFailed), detail)
@@ -259,7 +300,8 @@
     kept
 }
 
-fn parse_load(names: &HeaderNames, headers: &HeaderMap) -> Option<UpstreamLoad> {
+/// Reads the load that an upstream reports in a reply.
+pub(crate) fn parse_load(names: &HeaderNames, headers: &HeaderMap) -> Option<UpstreamLoad> {
     let text = headers.get(&names.load)?.to_str().ok()?;
     let mut numbers = text.split(',').map(|number| number.trim().parse().ok());
     let [running, waiting, slots] = [numbers.next()??, numbers.next()??, numbers.next()??];
--- a/crates/papayastack/src/forward/exchange.rs
+++ b/crates/papayastack/src/forward/exchange.rs
@@ -12,7 +12,7 @@
 
 use super::attempt::{Attempt, AttemptEnd, CallerRequest, UpstreamReply};
 use super::links::LinkSign;
-use super::registry::{UpstreamSet, UpstreamTarget};
+use super::registry::UpstreamSet;
 use super::route::{PinnedRoute, RequestKind};
 use super::state::ForwardState;
 use crate::ids::{AttemptId, ServiceName, UpstreamId};
@@ -21,7 +21,7 @@
     AttemptOutcome, AttemptTrace, Command, FailureReason, Gather, GatherSpec, GatheredPart,
     NoRetryReason, NotRunReason,
 };
-use crate::routing::{ConnectionShares, UpstreamIndex};
+use crate::routing::UpstreamIndex;
 use crate::settings::QueryClass;
 
 /// How long attempts may run on after the request was answered without them, so that their
@@ -41,8 +41,6 @@
     pub(crate) upstreams: Arc<UpstreamSet>,
     pub(crate) route: PinnedRoute,
     pub(crate) request: Arc<CallerRequest>,
-    /// The number of VMs that share the connections to an upstream.
-    pub(crate) sharing_vms: u32,
     pub(crate) class: QueryClass,
     /// Whether the exchange ends once this VM has lost its links, so that another VM can serve.
     pub(crate) ends_if_links_lost: bool,
@@ -252,7 +250,11 @@
             commands
         };
         for target in silent.iter().filter_map(|index| self.task.upstreams.by_index.get(index)) {
-            self.task.state.record_link_sign(target, LinkSign::Silent);
+            // Where owners send for this VM, their silence says nothing about its own links.
+            let document = self.task.route.document();
+            if self.task.state.upstream_access(target, document).connections_max > 0 {
+                self.task.state.record_link_sign(target, LinkSign::Silent);
+            }
         }
         self.perform(commands);
     }
@@ -276,7 +278,7 @@
             self.run_attempt(Box::pin(async move { (id, upstream, end) }));
             return;
         };
-        let connections_max = self.connections_max(&target);
+        let access = self.task.state.upstream_access(&target, self.task.route.document());
         let state = Arc::clone(&self.task.state);
         let request = Arc::clone(&self.task.request);
         let sent = Arc::clone(&self.sent);
@@ -286,7 +288,7 @@
                 state: &state,
                 request: &request,
                 target: &target,
-                connections_max,
+                access: &access,
                 deadline,
                 class,
                 chosen_at,
@@ -314,13 +316,6 @@
         self.gather.on_reply(id, cancelled, &mut context);
     }
 
-    /// Returns this VM's equal share of the connections that an upstream accepts.
-    fn connections_max(&self, target: &UpstreamTarget) -> u32 {
-        let services = &self.task.route.document().services;
-        let total = services.get(&target.service).map_or(u32::MAX, |entry| entry.connections_max);
-        ConnectionShares::divide(total, self.task.sharing_vms).each
-    }
-
     fn log_problem(
         &self,
         upstream: UpstreamIndex,
--- a/crates/papayastack/src/forward/feeds.rs
+++ b/crates/papayastack/src/forward/feeds.rs
@@ -42,7 +42,10 @@
 const STORE_CHECK_INTERVAL: Duration = Duration::from_millis(2_500);
 /// The longest pause before this VM writes its record again to a store back from an older copy.
 const RECORD_JITTER_MAX: Duration = Duration::from_millis(500);
-/// The pause before the first list of VMs, in which all VMs that start together record themselves.
+/// The longest pause before the first list of VMs. A VM that starts again needs it at once: its
+/// part of the connections depends on the number of VMs.
+const VM_LIST_JITTER: Duration = Duration::from_millis(30);
+/// The pause before the second list of VMs, in which all VMs that start together record themselves.
 const VM_LIST_PAUSE_INITIAL: Duration = Duration::from_millis(1_200);
 /// The longest pause between two lists of VMs while no other VM is known.
 const VM_LIST_PAUSE_MAX: Duration = Duration::from_secs(30);
@@ -458,25 +461,26 @@
 ) {
     let mut availability = StoreAvailability::new(&state, "vms");
     let mut pause = VM_LIST_PAUSE_INITIAL;
+    let first_jitter = rand::rng().random_range(0.0..1.0);
+    sleep(VM_LIST_JITTER.mul_f64(first_jitter)).await;
     loop {
-        let jitter = rand::rng().random_range(0.8..1.2);
-        sleep(pause.mul_f64(jitter)).await;
-        pause = (pause * 2).min(VM_LIST_PAUSE_MAX);
         match store.list_vms().await {
             Ok(vms) => {
                 availability.call_answered();
-                let known = u32::try_from(vms.len()).unwrap_or(u32::MAX);
-                state.raise_vms_known(known);
-                membership.set_seeds(vms.into_iter().map(|vm| vm.address).collect());
+                membership.set_seeds(vms.iter().map(|vm| vm.address).collect());
+                let listed = vms.into_iter().map(|vm| (vm.address, vm.data_centre)).collect();
+                state.set_listed_vms(listed, now());
             }
             Err(error) => availability.call_failed(&error),
         }
         let mut members = state.members.clone();
         // Ends as soon as another VM is a member; from then on the membership protocol finds VMs.
         let found = members.wait_for(|view| view.members.len() > 1);
-        if tokio::time::timeout(pause, found).await.is_ok() {
+        let jitter = rand::rng().random_range(0.8..1.2);
+        if tokio::time::timeout(pause.mul_f64(jitter), found).await.is_ok() {
             return;
         }
+        pause = (pause * 2).min(VM_LIST_PAUSE_MAX);
     }
 }
 
@@ -490,8 +494,7 @@
     let mut unreachable_before = BTreeSet::new();
     loop {
         let view = members.borrow_and_update().clone();
-        let seen = u32::try_from(view.members.len()).unwrap_or(u32::MAX);
-        state.raise_vms_known(seen);
+        state.set_members(&view, now());
         state.peers().retain_members(&view);
         let live: Vec<VmAddress> = view.live().map(|member| member.identity.address).collect();
         if live != live_before || view.unreachable_regions != unreachable_before {
@@ -515,6 +518,7 @@
             changed = members.changed() => changed.is_ok(),
             changed = routes.changed() => changed.is_ok(),
             changed = upstreams.changed() => changed.is_ok(),
+            () = sleep_until_some(state.list_ends_at()) => true,
         };
         if !changed {
             return;
--- a/crates/papayastack/src/forward/ingress.rs
+++ b/crates/papayastack/src/forward/ingress.rs
@@ -27,6 +27,7 @@
 };
 use super::route::{CallerLimits, PinnedRoute, RequestKind, Route, RouteTarget};
 use super::state::ForwardState;
+use super::through_owner::{OwnerOutcome, UPSTREAM_HEADER, serve_attempt};
 use crate::addresses::{AddressQuery, choose_addresses};
 use crate::admission::{AdmissionResult, QueryEnd};
 use crate::ids::ServiceName;
@@ -125,6 +126,9 @@
 }
 
 async fn forward_for_vm(State(state): State<Arc<ForwardState>>, request: Request) -> Response {
+    if request.headers().contains_key(&UPSTREAM_HEADER) {
+        return attempt_for_vm(&state, request).await;
+    }
     let others = state.relayed_in_flight.fetch_add(1, Ordering::AcqRel);
     let _in_flight = RelayedInFlight(&state);
     if others >= RELAYED_IN_FLIGHT_MAX {
@@ -135,6 +139,17 @@
     forward(&state, request, Origin::Vm).await
 }
 
+/// Sends one attempt for another VM.
+async fn attempt_for_vm(state: &Arc<ForwardState>, request: Request) -> Response {
+    let Some(table) = state.routes.borrow().clone() else {
+        return OwnerOutcome::NotServing.response("this VM has no configuration yet");
+    };
+    match read_request(state, request, table.document().limits).await {
+        Ok(request) => serve_attempt(state, &table, request).await,
+        Err(response) => *response,
+    }
+}
+
 /// Counts a request of another VM until dropped.
 struct RelayedInFlight<'a>(&'a ForwardState);
 
@@ -206,7 +221,6 @@
     let remaining_ms: Option<u64> =
         header_text(&request.headers, &names.remaining_ms).and_then(|value| value.parse().ok());
     let deadline = answer_deadline(accepted, route, remaining_ms.map(Duration::from_millis));
-    let sharing_vms = state.sharing_vms();
     let (services, shards) = {
         let mut decisions = state.decisions();
         let services = services_of(route, |parts| decisions.choose_split_part(route, parts));
@@ -280,7 +294,6 @@
         upstreams,
         route: route.clone(),
         request: Arc::clone(&request),
-        sharing_vms,
         class,
         ends_if_links_lost: origin == Origin::Caller,
     };
--- a/crates/papayastack/src/forward/mod.rs
+++ b/crates/papayastack/src/forward/mod.rs
@@ -19,6 +19,7 @@
 //! | `links` | whether this VM still reaches the upstreams |
 //! | `probing` | probes of lost links, and notices about them to other VMs |
 //! | `relay` | requests that another VM serves, because this one has lost its links |
+//! | `through_owner` | attempts that an owner of the upstream sends for a VM without a free connection |
 //! | `notices` | receipt of other VMs' notices |
 //! | `silence` | notices between VMs about upstreams that do not answer |
 //! | `state` | the state that all requests of one VM share |
@@ -39,7 +40,6 @@
 mod notices;
 mod operators;
 mod overload;
-#[cfg(test)]
 mod owners;
 mod plan;
 mod probing;
@@ -55,6 +55,7 @@
 mod store_health;
 #[cfg(test)]
 mod tests;
+mod through_owner;
 
 /// Returns the metrics of a VM that has forwarded nothing, for the test of the metrics page.
 #[cfg(test)]
--- a/crates/papayastack/src/forward/owners.rs
+++ b/crates/papayastack/src/forward/owners.rs
@@ -1,6 +1,7 @@
 //! The owners of upstreams, as this VM sees them, and its part of the connections to each upstream.
 
 use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
 
 use papayastack_macros::value;
 
@@ -10,6 +11,10 @@
 use crate::membership::MemberView;
 use crate::routing::{ConnectionShares, OwnerTable, Owners, OwnersKey, UpstreamIndex};
 
+/// How long the platform's list of VMs counts beside the members after it was read. Within that time,
+/// VMs that start together find each other.
+pub(crate) const LIST_COUNTS_FOR: Duration = Duration::from_secs(3);
+
 /// The ways of this VM to one upstream.
 #[value]
 #[derive(Default)]
@@ -26,8 +31,8 @@
     table: OwnerTable,
     owners: Owners,
     keys: BTreeMap<UpstreamIndex, OwnersKey>,
-    /// The VMs of the platform's list, which stand in for members while few of these are known.
-    listed: BTreeMap<VmAddress, DataCentreName>,
+    /// The VMs of the platform's list, and until when they count beside the members.
+    listed: Option<(BTreeMap<VmAddress, DataCentreName>, Instant)>,
     /// The largest number of VMs known so far; `None` before any is.
     vms: Option<u32>,
 }
@@ -43,32 +48,43 @@
         self.owners = self.table.owners();
     }
 
-    /// Sets the VMs of the platform's list, which lags behind the members.
-    pub(crate) fn set_listed(&mut self, listed: BTreeMap<VmAddress, DataCentreName>) {
+    /// Sets the VMs of the platform's list. They count beside the members for a time, so that VMs
+    /// that start agree on the owners although each one has found other members.
+    pub(crate) fn set_listed(&mut self, listed: BTreeMap<VmAddress, DataCentreName>, now: Instant) {
         self.raise_vms(listed.len());
-        self.listed = listed;
+        self.table.set_vms(listed.iter().map(|(address, name)| (*address, name)));
+        self.owners = self.table.owners();
+        self.listed = Some((listed, now + LIST_COUNTS_FOR));
+    }
+
+    /// Returns until when the platform's list counts; [`Self::set_members`] is needed then.
+    pub(crate) fn list_ends_at(&self) -> Option<Instant> {
+        self.listed.as_ref().map(|(_, until)| *until)
     }
 
-    /// Sets the members. While they are less than half of the known VMs, as shortly after a start,
-    /// the listed VMs count instead: all VMs then agree on the owners although each one knows other
-    /// members.
-    pub(crate) fn set_members(&mut self, view: &MemberView) {
-        let live = view.live().count();
+    /// Sets the members.
+    pub(crate) fn set_members(&mut self, view: &MemberView, now: Instant) {
         if view.members.len() > 1 {
             self.raise_vms(view.members.len());
         }
-        if live * 2 < self.vms.unwrap_or(0) as usize && self.listed.len() > live {
-            self.table.set_vms(self.listed.iter().map(|(address, name)| (*address, name)));
-        } else {
-            self.table.set_members(view);
+        let live = view.live().map(|member| (member.identity.address, &member.data_centre));
+        match &self.listed {
+            Some((listed, until)) if now < *until => {
+                // VMs that started after the list was read are members only.
+                self.table.set_vms(live.chain(listed.iter().map(|(vm, name)| (*vm, name))));
+            }
+            Some(_) | None => {
+                self.table.set_vms(live);
+                self.listed = None;
+            }
         }
         self.owners = self.table.owners();
     }
 
-    /// Returns the ways of the VM `own` to an upstream that accepts `connections_max` connections.
+    /// Returns the ways of the VM at `own` to an upstream that accepts `connections_max` connections.
     pub(crate) fn access(
         &self,
-        own: VmAddress,
+        own: Option<VmAddress>,
         target: &UpstreamTarget,
         connections_max: u32,
     ) -> UpstreamAccess {
@@ -80,10 +96,10 @@
         let known = self.keys.get(&target.index).filter(|_| shares.owner_extra > 0);
         let owners: Vec<VmAddress> =
             known.map(|key| self.owners.of(*key).collect()).unwrap_or_default();
-        let is_owner = owners.contains(&own);
+        let is_owner = own.is_some_and(|own| owners.contains(&own));
         UpstreamAccess {
             connections_max: shares.of_vm(is_owner),
-            owners: owners.into_iter().filter(|owner| *owner != own).collect(),
+            owners: owners.into_iter().filter(|owner| Some(*owner) != own).collect(),
         }
     }
 
--- a/crates/papayastack/src/forward/relay.rs
+++ b/crates/papayastack/src/forward/relay.rs
@@ -17,6 +17,7 @@
 use super::attempt::{CallerRequest, end_to_end_headers};
 use super::response::{RETRY_AFTER, RequestOutcome};
 use super::state::ForwardState;
+use super::through_owner::UPSTREAM_HEADER;
 use crate::cbor;
 use crate::ids::VmAddress;
 use crate::membership::{Member, MemberState, MemberView};
@@ -30,7 +31,7 @@
 /// The most VMs that a request is sent to, one after the other, as long as none has run it.
 const PEERS_TRIED_MAX: usize = 3;
 /// The most connections to another VM.
-const CONNECTIONS_PER_PEER: u32 = 256;
+pub(crate) const CONNECTIONS_PER_PEER: u32 = 256;
 /// How long another VM counts as without links after it said so; it repeats that while it lasts.
 const PEER_LOST_HOLD: Duration = Duration::from_millis(1_500);
 /// How long a VM that serves for this one may answer nothing before others are preferred.
@@ -175,6 +176,29 @@
                 peers.retain(preferred);
             }
         }
+        self.choose_less_busy(&peers, random)
+    }
+
+    /// Chooses the owner with fewer requests of this VM in flight out of two random ones that have
+    /// links and are not in `tried`. Preferred are owners that answer.
+    pub(crate) fn choose_owner(
+        &self,
+        owners: &[VmAddress],
+        tried: &[VmAddress],
+        now: Instant,
+        random: &mut impl Rng,
+    ) -> Option<VmAddress> {
+        let mut peers = owners.to_vec();
+        peers.retain(|peer| {
+            !tried.contains(peer) && self.lost_until.get(peer).is_none_or(|until| *until <= now)
+        });
+        if peers.iter().any(|peer| !self.is_troubled(peer, now)) {
+            peers.retain(|peer| !self.is_troubled(peer, now));
+        }
+        self.choose_less_busy(&peers, random)
+    }
+
+    fn choose_less_busy(&self, peers: &[VmAddress], random: &mut impl Rng) -> Option<VmAddress> {
         if peers.is_empty() {
             return None;
         }
@@ -330,6 +354,7 @@
         let headers = outgoing.headers_mut();
         *headers = end_to_end_headers(&self.request.headers);
         headers.remove(header::CONTENT_LENGTH);
+        headers.remove(&UPSTREAM_HEADER);
         headers.insert(names.remaining_ms.clone(), HeaderValue::from(remaining.as_millis() as u64));
         headers.insert(ATTEMPTS_HEADER, HeaderValue::from(self.attempts_max));
         outgoing
@@ -357,14 +382,15 @@
 }
 
 /// Counts a request to another VM until dropped.
-struct InFlight<'a> {
+pub(crate) struct InFlight<'a> {
     state: &'a ForwardState,
     peer: VmAddress,
-    answered: bool,
+    pub(crate) answered: bool,
 }
 
 impl<'a> InFlight<'a> {
-    fn start(state: &'a ForwardState, peer: VmAddress) -> Self {
+    /// Counts a request that is about to be sent to `peer`.
+    pub(crate) fn start(state: &'a ForwardState, peer: VmAddress) -> Self {
         state.peers().request_sent(peer, Instant::now());
         Self { state, peer, answered: false }
     }
--- a/crates/papayastack/src/forward/state.rs
+++ b/crates/papayastack/src/forward/state.rs
@@ -15,11 +15,12 @@
 use super::interface::IngressFormat;
 use super::links::{LinkChange, LinkSign, UpstreamLinks};
 use super::metrics::ForwardMetrics;
+use super::owners::{UpstreamAccess, UpstreamOwners};
 use super::plan::replicas_of;
 use super::registry::{Registry, RegistryEvent, UpstreamSet, UpstreamTarget};
 use super::relay::RelayPeers;
 use super::reply_body::UnfinishedBodies;
-use super::route::{Route, RouteTable, SplitPart};
+use super::route::{Route, RouteDocument, RouteTable, SplitPart};
 use super::settings::GatewaySettings;
 use super::store_health::StoreHealth;
 use crate::admission::Admission;
@@ -75,6 +76,7 @@
     links: Mutex<UpstreamLinks>,
     peers: Mutex<RelayPeers>,
     registry: Mutex<Registry>,
+    owners: Mutex<UpstreamOwners>,
     decisions: Mutex<ForwardDecisions>,
     /// When the store last answered a call of each feed.
     feed_answered_at: Mutex<BTreeMap<&'static str, Instant>>,
@@ -117,6 +119,7 @@
             links: Mutex::new(UpstreamLinks::new()),
             peers: Mutex::default(),
             registry: Mutex::default(),
+            owners: Mutex::default(),
             decisions: Mutex::new(ForwardDecisions::new(random)),
             feed_answered_at: Mutex::default(),
         }
@@ -216,9 +219,48 @@
             decisions.set_remote(*index, target.data_centre != self.settings.data_centre);
         }
         drop(decisions);
+        lock(&self.owners).set_upstreams(&set);
         self.upstreams.send_replace(Some(Arc::new(set)));
     }
 
+    /// Returns the ways of this VM to an upstream, whose service is described in `document`.
+    pub(crate) fn upstream_access(
+        &self,
+        target: &UpstreamTarget,
+        document: &RouteDocument,
+    ) -> UpstreamAccess {
+        let service = document.services.get(&target.service);
+        let connections_max = service.map_or(u32::MAX, |service| service.connections_max);
+        let own = self.link_address.get().copied();
+        lock(&self.owners).access(own, target, connections_max)
+    }
+
+    /// Takes the platform's list of VMs.
+    pub(crate) fn set_listed_vms(&self, listed: BTreeMap<VmAddress, DataCentreName>, now: Instant) {
+        self.raise_vms_known(u32::try_from(listed.len()).unwrap_or(u32::MAX));
+        lock(&self.owners).set_listed(listed, now);
+    }
+
+    /// Returns until when the platform's list of VMs counts beside the members.
+    pub(crate) fn list_ends_at(&self) -> Option<Instant> {
+        lock(&self.owners).list_ends_at()
+    }
+
+    /// Takes the members, and closes the connections that are now beyond this VM's part.
+    pub(crate) fn set_members(&self, view: &MemberView, now: Instant) {
+        self.raise_vms_known(u32::try_from(view.members.len()).unwrap_or(u32::MAX));
+        lock(&self.owners).set_members(view, now);
+        let (Some(table), Some(set)) =
+            (self.routes.borrow().clone(), self.upstreams.borrow().clone())
+        else {
+            return;
+        };
+        for target in set.by_index.values() {
+            let access = self.upstream_access(target, table.document());
+            self.pool.limit(target.address, access.connections_max);
+        }
+    }
+
     /// Tells whether an upstream of an earlier set is in the current one.
     pub(crate) fn is_current(&self, target: &UpstreamTarget) -> bool {
         let upstreams = self.upstreams.borrow();
@@ -295,6 +337,12 @@
         });
     }
 
+    /// Tells whether this VM refuses requests, or has lost its links, so that it sends none for other
+    /// VMs.
+    pub(crate) fn cannot_serve_others(&self) -> bool {
+        self.refuses_requests.load(Ordering::Acquire) || self.links().are_lost()
+    }
+
     /// Tells whether this VM should get callers' requests.
     pub(crate) fn is_ready(&self) -> bool {
         !self.leaving.load(Ordering::Acquire)
@@ -307,11 +355,6 @@
         self.routes.borrow().as_ref().map_or(0, |table| table.document().version)
     }
 
-    /// Returns the number of VMs that share the system's connections and repeats.
-    pub(crate) fn sharing_vms(&self) -> u32 {
-        self.decisions().vms_known
-    }
-
     /// Raises the number of known VMs to `vms`; a lower number changes nothing.
     pub(crate) fn raise_vms_known(&self, vms: u32) {
         let mut decisions = self.decisions();
--- a/crates/papayastack/src/forward/tests/connections.rs
+++ b/crates/papayastack/src/forward/tests/connections.rs
@@ -4,13 +4,13 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
 use super::registry::{entry, named};
-use crate::forward::owners::{UpstreamAccess, UpstreamOwners};
+use crate::forward::owners::{LIST_COUNTS_FOR, UpstreamAccess, UpstreamOwners};
 use crate::forward::registry::{Registry, UpstreamSet};
 use crate::ids::{DataCentreName, VmAddress};
 use crate::membership::{Member, MemberState, MemberView, VmIdentity};
@@ -44,6 +44,7 @@
     view: MemberView,
     /// Changes of the view and when they are noticed.
     pending: BTreeMap<(u64, VmAddress), bool>,
+    started_step: u64,
     running: bool,
     /// The most connections that the VM was allowed in each of the last steps.
     allowed: Vec<u32>,
@@ -54,6 +55,7 @@
     upstreams: UpstreamSet,
     cap: u32,
     step: u64,
+    started: Instant,
     random: SmallRng,
 }
 
@@ -65,28 +67,33 @@
             data_centre: DATA_CENTRES[0].to_owned(),
             ..entry("board", 1)
         };
-        registry.on_list(vec![named("one", upstream)], std::time::Instant::now());
+        registry.on_list(vec![named("one", upstream)], Instant::now());
         let mut fleet = Self {
             vms: BTreeMap::new(),
             upstreams: registry.set(),
             cap,
             step: 0,
+            started: Instant::now(),
             random: SmallRng::seed_from_u64(seed),
         };
         for _ in 0..vms {
             fleet.add_vm();
         }
         let everyone = fleet.view_of(|_| true);
-        let listed = fleet.listed();
+        let (listed, now) = (fleet.listed(), fleet.now());
         for vm in fleet.vms.values_mut() {
             vm.pending.clear();
             vm.view = everyone.clone();
-            vm.owners.set_listed(listed.clone());
-            vm.owners.set_members(&vm.view);
+            vm.owners.set_listed(listed.clone(), now);
+            vm.owners.set_members(&vm.view, now + LIST_COUNTS_FOR);
         }
         fleet
     }
 
+    fn now(&self) -> Instant {
+        self.started + STEP * self.step as u32
+    }
+
     fn view_of(&self, known: impl Fn(&VmAddress) -> bool) -> MemberView {
         let members = self.vms.iter().filter(|(address, _)| known(address));
         let members = members.map(|(address, vm)| (*address, member(*address, &vm.data_centre)));
@@ -115,6 +122,7 @@
             owners: UpstreamOwners::default(),
             view: MemberView::default(),
             pending: BTreeMap::new(),
+            started_step: self.step,
             running: true,
             allowed: Vec::new(),
         };
@@ -122,8 +130,8 @@
         let mut listed = self.listed();
         listed.insert(address, data_centre);
         vm.owners.set_upstreams(&self.upstreams);
-        vm.owners.set_listed(listed);
-        vm.owners.set_members(&vm.view);
+        vm.owners.set_listed(listed, self.now());
+        vm.owners.set_members(&vm.view, self.now());
         self.vms.insert(address, vm);
         for other in self.other_vms(address) {
             self.notice(address, other, true, DISCOVERY_MS);
@@ -185,7 +193,7 @@
     /// Lets the VMs notice what is due, and returns how many connections are open at most.
     fn advance(&mut self) -> u32 {
         self.step += 1;
-        let (cap, step) = (self.cap, self.step);
+        let (cap, step, now) = (self.cap, self.step, self.now());
         let data_centres = self.listed();
         let target = &self.upstreams.by_index[&self.upstreams.index_of("one").expect("it is used")];
         let mut open = 0;
@@ -199,11 +207,12 @@
                     vm.view.members.remove(other);
                 }
             }
-            if !due.is_empty() {
-                vm.owners.set_members(&vm.view);
+            let list_ends = vm.started_step + LIST_COUNTS_FOR.div_duration_f64(STEP) as u64 == step;
+            if !due.is_empty() || list_ends {
+                vm.owners.set_members(&vm.view, now);
             }
             let UpstreamAccess { connections_max, owners } =
-                vm.owners.access(*address, target, cap);
+                vm.owners.access(Some(*address), target, cap);
             assert!(connections_max > 0 || !owners.is_empty(), "{address} has no way to the shard");
             vm.allowed.push(connections_max);
         }
--- a/crates/papayastack/src/upstream/pool.rs
+++ b/crates/papayastack/src/upstream/pool.rs
@@ -46,6 +46,8 @@
 struct Host {
     idle: Vec<IdleConnection>,
     open: u32,
+    /// The most connections that may be kept open; `None` before any request.
+    connections_max: Option<u32>,
     opened_total: u64,
 }
 
@@ -115,7 +117,7 @@
         may_send: impl Fn() -> bool,
     ) -> Result<(Response<Incoming>, Lease), ExchangeError> {
         loop {
-            let mut lease = match self.take_idle(address) {
+            let mut lease = match self.take_idle(address, connections_max) {
                 Some(lease) => lease,
                 None => self.connect(address, connections_max).await?,
             };
@@ -147,6 +149,13 @@
         }
     }
 
+    /// Closes the idle connections to an upstream beyond `connections_max`.
+    pub(crate) fn limit(&self, address: SocketAddr, connections_max: u32) {
+        if let Some(host) = self.hosts().get_mut(&address) {
+            host.limit(connections_max);
+        }
+    }
+
     /// Closes all idle connections.
     pub(crate) fn close_all_idle(&self) {
         self.hosts().values_mut().for_each(|host| host.idle.clear());
@@ -160,11 +169,12 @@
         })
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<Lease> {
+    fn take_idle(&self, address: SocketAddr, connections_max: u32) -> Option<Lease> {
         let mut hosts = self.hosts();
         let host = hosts.get_mut(&address)?;
         let now = Instant::now();
         host.idle.retain(|idle| idle.expires_at > now && !idle.connection.sender.is_closed());
+        host.limit(connections_max);
         let first = host.idle.len().saturating_sub(IDLE_CHECKED_MAX);
         let ready = |idle: &IdleConnection| idle.connection.sender.is_ready();
         let position = host.idle[first..].iter().rposition(ready)? + first;
@@ -181,7 +191,8 @@
         {
             let mut hosts = self.hosts();
             let host = hosts.entry(address).or_default();
-            if host.open >= connections_max.max(1) {
+            host.connections_max = Some(connections_max);
+            if host.open >= connections_max {
                 return Err(ExchangeError::NoConnectionFree);
             }
             host.open += 1;
@@ -220,12 +231,28 @@
         if connection.sender.is_closed() {
             return;
         }
-        if let Some(host) = self.pool.hosts().get_mut(&self.address) {
+        if let Some(host) = self.pool.hosts().get_mut(&self.address)
+            && host.surplus() == 0
+        {
             host.idle.push(IdleConnection { connection, expires_at });
         }
     }
 }
 
+impl Host {
+    /// Sets the most connections that may be open, and closes idle ones beyond that, oldest first.
+    fn limit(&mut self, connections_max: u32) {
+        self.connections_max = Some(connections_max);
+        let closed = self.idle.len().min(self.surplus() as usize);
+        self.idle.drain(..closed);
+    }
+
+    /// Returns how many more connections are open than may be.
+    fn surplus(&self) -> u32 {
+        self.connections_max.map_or(0, |connections_max| self.open.saturating_sub(connections_max))
+    }
+}
+
 /// Counts one open connection until it is dropped with the connection's task.
 struct OpenConnectionGuard {
     pool: ConnectionPool,
