Write log lines whose length does not grow with the fleet

Cause: lines held whole views instead of differences. Change: `members_changed` has the counts in `live` and `live_before` and at most eight addresses each in `joined` and `left`; more than eight upstreams that become usable, unusable or held at once share a line with `count` and the first eight in `upstreams`. The names of the fields stay. Evidence: two tests that no line grows, at 8,000 VMs and 5,000 upstreams. They call what is new and could not be run before.

--- a/crates/papayastack/src/forward/feeds.rs
+++ b/crates/papayastack/src/forward/feeds.rs
@@ -7,7 +7,7 @@
 
 use papayastack_macros::closed_set;
 use rand::Rng;
-use serde_json::json;
+use serde_json::{Value, json};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
@@ -15,9 +15,9 @@
 use super::interface::{Change, FeedStore, Freshness, NamedEntry, StorePosition};
 use super::route::{RouteDocument, RouteTable};
 use super::state::ForwardState;
-use crate::ids::VmAddress;
+use crate::ids::{RegionName, VmAddress};
 use crate::membership::Membership;
-use crate::observe::DecisionEvent;
+use crate::observe::{DecisionEvent, first_names};
 use crate::platform::{ListedState, ListedVm, PlatformError, StoreEra};
 
 /// The pause between two watches of upstreams, which batches changes: the platform charges for each
@@ -490,23 +490,20 @@
     let mut members = state.members.clone();
     let mut routes = state.routes.subscribe();
     let mut upstreams = state.upstreams.subscribe();
-    let mut live_before: Vec<VmAddress> = Vec::new();
+    let mut live_before: BTreeSet<VmAddress> = BTreeSet::new();
     let mut unreachable_before = BTreeSet::new();
     loop {
         let view = members.borrow_and_update().clone();
         state.set_members(&view, now());
         state.peers().retain_members(&view);
-        let live: Vec<VmAddress> = view.live().map(|member| member.identity.address).collect();
-        if live != live_before || view.unreachable_regions != unreachable_before {
+        let live: BTreeSet<VmAddress> = view.live().map(|member| member.identity.address).collect();
+        let unreachable = &view.unreachable_regions;
+        if live != live_before || *unreachable != unreachable_before {
             state.log.write(DecisionEvent::MembersChanged, || {
-                json!({
-                    "live": live,
-                    "live_before": live_before,
-                    "unreachable_regions": view.unreachable_regions,
-                })
+                members_changed_fields(&live_before, &live, unreachable)
             });
             live_before = live;
-            unreachable_before = view.unreachable_regions.clone();
+            unreachable_before = unreachable.clone();
         }
         let version = routes.borrow_and_update().as_ref().map(|table| table.document().version);
         if let (Some(version), true) = (version, upstreams.borrow_and_update().is_some())
@@ -525,3 +522,21 @@
         }
     }
 }
+
+/// Returns the fields of the line about a change of the live VMs: how many there are, and who came
+/// and went.
+pub(crate) fn members_changed_fields(
+    live_before: &BTreeSet<VmAddress>,
+    live: &BTreeSet<VmAddress>,
+    unreachable_regions: &BTreeSet<RegionName>,
+) -> Value {
+    let joined: Vec<&VmAddress> = live.difference(live_before).collect();
+    let left: Vec<&VmAddress> = live_before.difference(live).collect();
+    json!({
+        "live": live.len(),
+        "live_before": live_before.len(),
+        "joined": first_names(&joined),
+        "left": first_names(&left),
+        "unreachable_regions": unreachable_regions,
+    })
+}
--- a/crates/papayastack/src/forward/registry.rs
+++ b/crates/papayastack/src/forward/registry.rs
@@ -11,7 +11,7 @@
 
 use super::interface::{Change, NamedEntry};
 use crate::ids::{DataCentreName, ServiceName, UpstreamId};
-use crate::observe::{DecisionEvent, DecisionLog};
+use crate::observe::{DecisionEvent, DecisionLog, NAMES_PER_LINE_MAX, first_names};
 use crate::routing::UpstreamIndex;
 
 /// How long an upstream stays usable after its entry went missing, if the store failed recently.
@@ -110,27 +110,46 @@
 }
 
 impl RegistryEvent {
-    /// Writes the event to the decision log.
-    pub(crate) fn write_to(&self, log: &DecisionLog) {
-        match self {
-            Self::Usable(id) => {
-                log.write(DecisionEvent::UpstreamUsable, || json!({ "upstream": id }));
-            }
-            Self::Unusable { id, reason } => {
-                let fields = || json!({ "upstream": id, "reason": reason });
-                log.write(DecisionEvent::UpstreamUnusable, fields);
-            }
-            Self::Held(id) => {
-                log.write(DecisionEvent::UpstreamHeld, || json!({ "upstream": id }));
+    /// Writes events to the decision log. Events of one kind share a line where there are many, so
+    /// that a start or an outage writes no line for each upstream.
+    pub(crate) fn write_all(events: &[Self], log: &DecisionLog) {
+        let mut alike: BTreeMap<(DecisionEvent, Option<UnusableReason>), Vec<&UpstreamId>> =
+            BTreeMap::new();
+        for event in events {
+            let (kind, reason, id) = match event {
+                Self::Usable(id) => (DecisionEvent::UpstreamUsable, None, id),
+                Self::Unusable { id, reason } => {
+                    (DecisionEvent::UpstreamUnusable, Some(*reason), id)
+                }
+                Self::Held(id) => (DecisionEvent::UpstreamHeld, None, id),
+                Self::Ignored { id, detail } => {
+                    let fields = || json!({ "upstream": id, "detail": detail });
+                    log.write(DecisionEvent::UpstreamIgnored, fields);
+                    continue;
+                }
+            };
+            alike.entry((kind, reason)).or_default().push(id);
+        }
+        for ((kind, reason), ids) in alike {
+            if ids.len() > NAMES_PER_LINE_MAX {
+                let fields = json!({ "count": ids.len(), "upstreams": first_names(&ids) });
+                log.write(kind, || with_reason(fields, reason));
+                continue;
             }
-            Self::Ignored { id, detail } => {
-                let fields = || json!({ "upstream": id, "detail": detail });
-                log.write(DecisionEvent::UpstreamIgnored, fields);
+            for id in ids {
+                log.write(kind, || with_reason(json!({ "upstream": id }), reason));
             }
         }
     }
 }
 
+fn with_reason(mut fields: serde_json::Value, reason: Option<UnusableReason>) -> serde_json::Value {
+    if let Some(reason) = reason {
+        fields["reason"] = json!(reason);
+    }
+    fields
+}
+
 /// Why an upstream is not used.
 #[closed_set]
 pub(crate) enum UnusableReason {
--- a/crates/papayastack/src/forward/state.rs
+++ b/crates/papayastack/src/forward/state.rs
@@ -192,7 +192,7 @@
         let events = update(&mut registry);
         self.publish_upstreams(&registry);
         drop(registry);
-        events.iter().for_each(|event| event.write_to(&self.log));
+        RegistryEvent::write_all(&events, &self.log);
     }
 
     /// Locks the registry of upstreams.
--- a/crates/papayastack/src/forward/tests/feeds.rs
+++ b/crates/papayastack/src/forward/tests/feeds.rs
@@ -1,6 +1,6 @@
 //! Tests of the feeds in virtual time, against a store with scripted answers.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
@@ -8,17 +8,19 @@
 use async_trait::async_trait;
 use axum::http::{HeaderName, Uri};
 use bytes::Bytes;
+use serde_json::json;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep};
 
 use super::registry::{entry, named, removed};
 use crate::caller::AddressesAnswer;
-use crate::forward::feeds::follow_upstreams;
+use crate::forward::feeds::{follow_upstreams, members_changed_fields};
 use crate::forward::state::ForwardState;
 use crate::forward::{
     CallerLocation, Changes, FeedStore, Freshness, GatewaySettings, HeaderNames, IngressFormat,
     Listing, RepeatSettings, RouteDocument, StorePosition, StoreRevision, UpstreamEntry,
 };
+use crate::ids::VmAddress;
 use crate::membership::MemberView;
 use crate::observe::DecisionLog;
 use crate::platform::{ListedVm, PlatformError, StoreEra};
@@ -178,3 +180,18 @@
     assert!(removed_at.elapsed() < LEAVING_SERVES_FOR, "dropped after {:?}", removed_at.elapsed());
     feed.abort();
 }
+
+// Guards against logs that grow with the square of the fleet when VMs find each other.
+#[test]
+fn a_change_of_the_members_is_one_short_line_in_a_fleet_of_any_size() {
+    let vms = |count: u16| (0..count).map(|port| ([10, 0, 0, 1], port).into()).collect();
+    let (few, many): (BTreeSet<VmAddress>, BTreeSet<VmAddress>) = (vms(3), vms(8_000));
+
+    let all_join = members_changed_fields(&few, &many, &BTreeSet::new());
+    let one_leaves = members_changed_fields(&few, &vms(2), &BTreeSet::new());
+
+    assert!(all_join.to_string().len() < 400, "{all_join}");
+    assert_eq!((&all_join["live"], &all_join["live_before"]), (&json!(8_000), &json!(3)));
+    assert_eq!(one_leaves["left"], json!(["10.0.0.1:2"]));
+    assert_eq!(one_leaves["joined"], json!([]));
+}
--- a/crates/papayastack/src/forward/tests/registry.rs
+++ b/crates/papayastack/src/forward/tests/registry.rs
@@ -4,6 +4,7 @@
 
 use crate::forward::registry::{Registry, RegistryEvent, UnusableReason};
 use crate::forward::{Change, EntryFault, NamedEntry, UpstreamEntry, UpstreamState};
+use crate::observe::DecisionLog;
 
 pub(super) fn entry(service: &str, port: u16) -> UpstreamEntry {
     UpstreamEntry {
@@ -163,3 +164,25 @@
 
     assert_eq!(usable(&registry), ["two"]);
 }
+
+/// Returns the lines that a list of `upstreams` new entries writes.
+fn lines_of_a_first_list(upstreams: u16) -> Vec<String> {
+    let (log, lines) = DecisionLog::with_lines("vm");
+    let entries = (0..upstreams).map(|port| named(&format!("u-{port}"), entry("board", port)));
+    let events = Registry::default().on_list(entries.collect(), Instant::now());
+
+    RegistryEvent::write_all(&events, &log);
+
+    lines.try_iter().collect()
+}
+
+// Guards against logs that grow with the square of the fleet when all VMs start.
+#[test]
+fn the_first_list_of_many_upstreams_writes_one_short_line() {
+    let few = lines_of_a_first_list(3);
+    let many = lines_of_a_first_list(5_000);
+
+    assert_eq!(few.len(), 3);
+    assert_eq!(many.len(), 1);
+    assert!(many[0].contains("\"count\":5000") && many[0].len() < 300, "{}", many[0]);
+}
--- a/crates/papayastack/src/observe/decisions.rs
+++ b/crates/papayastack/src/observe/decisions.rs
@@ -17,6 +17,14 @@
 /// The period over which the lines of a kind are counted.
 const RATE_PERIOD: Duration = Duration::from_secs(1);
 
+/// The most names of VMs or upstreams in one line; a line then stays short in a system of any size.
+pub(crate) const NAMES_PER_LINE_MAX: usize = 8;
+
+/// Returns the first names of a list, as many as a line may hold.
+pub(crate) fn first_names<T>(names: &[T]) -> &[T] {
+    &names[..names.len().min(NAMES_PER_LINE_MAX)]
+}
+
 /// The kinds of events in the decision log.
 #[closed_set]
 pub enum DecisionEvent {
@@ -157,6 +165,13 @@
         Self::with_sender(process, spawned.is_ok().then_some(sender))
     }
 
+    /// Opens a log and returns it with the receiver of its lines, for tests.
+    #[cfg(test)]
+    pub(crate) fn with_lines(process: &str) -> (Arc<Self>, Receiver<String>) {
+        let (sender, lines) = sync_channel(QUEUE_MAX_LINES);
+        (Self::with_sender(process, Some(sender)), lines)
+    }
+
     /// Opens a log that writes nothing.
     pub fn disabled() -> Arc<Self> {
         Self::with_sender("", None)
--- a/crates/papayastack/src/observe/mod.rs
+++ b/crates/papayastack/src/observe/mod.rs
@@ -10,6 +10,7 @@
 mod trace;
 
 pub use decisions::{DecisionEvent, DecisionLog};
+pub(crate) use decisions::{NAMES_PER_LINE_MAX, first_names};
 pub(crate) use labels::{ANSWERED, attempt_name, platform_result_name};
 pub use labels::{PlatformCall, QueryOutcome, SubmissionOutcome};
 pub use logs::{LogError, LogFormat, LogSettings, open_logs};
