--- a/crates/papayastack-daemon/tests/gateway/through_owner.rs
+++ b/crates/papayastack-daemon/tests/gateway/through_owner.rs
@@ -12,7 +12,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::support::{
-    CONFIGURATION, GatewayProcess, any_port, put_backend, read_head, start_store,
+    BACKEND, CONFIGURATION, GatewayProcess, any_port, put_backend, read_head, start_store,
 };
 
 const VMS: usize = 5;
@@ -67,7 +67,7 @@
 struct Fleet {
     vms: Vec<GatewayProcess>,
     upstream: Arc<Counted>,
-    _store: PlatformStandin,
+    store: PlatformStandin,
 }
 
 impl Fleet {
@@ -93,7 +93,7 @@
                 }
             }
         }
-        Self { vms, upstream, _store: store }
+        Self { vms, upstream, store }
     }
 
     /// Sends requests to each VM, one after the other; returns how many are served.
@@ -197,3 +197,41 @@
     assert!(answer.contains("papaya-attempt-outcome: withdrawn"), "{answer}");
     assert_eq!(fleet.upstream.arrived(), before);
 }
+
+// Guards against an owner that acts on another VM's configuration: it would be seen to use a later
+// version, and after that its own older one.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_owner_sends_no_attempt_that_its_own_routes_do_not_allow() {
+    let fleet = Fleet::start(CONFIGURATION).await;
+    let listener = TcpListener::bind(any_port()).await.expect("a port is free");
+    let address = listener.local_addr().expect("a listener has an address");
+    let other_service = Arc::new(Counted::default());
+    tokio::spawn(accept(listener, Arc::clone(&other_service)));
+    let entry = BACKEND
+        .replace("ADDRESS", &address.to_string())
+        .replace("\"service\": \"one\"", "\"service\": \"two\"");
+    let entry = serde_json::from_str(&entry).expect("fixtures are JSON");
+    fleet.store.put_object(&ObjectName::new("servers", "i-2"), entry);
+    let request = format!(
+        "GET /read/x HTTP/1.1\r\nhost: attempt.papaya\r\n{}: the-id\r\n\
+         papaya-attempt-host: a.example\r\npapaya-attempt-upstream: i-2\r\n\
+         connection: close\r\n\r\n",
+        PlatformIngress::new().headers().request_id
+    );
+    let answer = |vm: SocketAddr| send(vm, &request);
+    // The VM knows the upstream once it no longer takes it for one that left.
+    let known = async {
+        loop {
+            let answer = answer(fleet.vms[0].link_address).await.expect("the VM responds");
+            if !answer.contains("papaya-attempt-outcome: withdrawn") {
+                return answer;
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+
+    let answer = tokio::time::timeout(Duration::from_secs(10), known).await.expect("it is known");
+
+    assert!(answer.contains("papaya-attempt-outcome: not_serving"), "{answer}");
+    assert_eq!(other_service.arrived(), 0);
+}
