Send another VM's attempt only where the own routes allow it

Ruled out: comparing versions, since most versions leave a route as it is, and VMs that differ in version could not send for each other while a change spreads. Change: the owner looks up the caller's host and path in its own table, and refuses the attempt as not sent unless that route names the upstream's service; the VM that asked takes another owner or replica.

--- a/crates/papayastack/src/forward/route.rs
+++ b/crates/papayastack/src/forward/route.rs
@@ -118,11 +118,18 @@
 impl RouteDocument {
     /// Tells whether any route sends requests to a service.
     pub fn uses(&self, service: &str) -> bool {
-        self.routes.iter().any(|route| match &route.target {
-            RouteTarget::Service(name) => name == service,
-            RouteTarget::Split(parts) => parts.iter().any(|part| part.service == service),
-            RouteTarget::Shards(shards) => shards.services.iter().any(|name| name == service),
-        })
+        self.routes.iter().any(|route| route.target.names(service))
+    }
+}
+
+impl RouteTarget {
+    /// Tells whether requests may go to a service.
+    pub fn names(&self, service: &str) -> bool {
+        match self {
+            Self::Service(name) => name == service,
+            Self::Split(parts) => parts.iter().any(|part| part.service == service),
+            Self::Shards(shards) => shards.services.iter().any(|name| name == service),
+        }
     }
 }
 
--- a/crates/papayastack/src/forward/through_owner.rs
+++ b/crates/papayastack/src/forward/through_owner.rs
@@ -5,6 +5,7 @@
 //! for its own connections; the upstream's reply comes back whole.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::time::{Duration, Instant};
 
@@ -219,7 +220,7 @@
 /// Sends an attempt for another VM, and returns the upstream's reply or how the attempt ended.
 pub(crate) async fn serve_attempt(
     state: &ForwardState,
-    table: &RouteTable,
+    table: &Arc<RouteTable>,
     mut request: CallerRequest,
 ) -> Response {
     if let Some(host) = request.headers.remove(&CALLER_HOST_HEADER) {
@@ -234,6 +235,12 @@
     let Some(target) = known else {
         return OwnerOutcome::Withdrawn.response("the upstream is not known or leaving");
     };
+    // Upstreams would see this VM act on a version that it has not reached yet, or has left.
+    let host = header_text(&request.headers, &header::HOST).unwrap_or("");
+    let route = table.find(host, request.uri.path());
+    if !route.is_some_and(|route| route.target.names(&target.service)) {
+        return OwnerOutcome::NotServing.response("no route of this VM allows the attempt");
+    }
     let access = state.upstream_access(target, table.document());
     if access.connections_max == 0 {
         return OwnerOutcome::NotServing.response("this VM does not own the upstream");
