Count a route's goal from when its caller began to wait

Ruled out: the round trip that the kernel knows of the caller's connection, which lacks the time for the address. Change: the time that a request lacks of the route's time-out was spent on an address and a connection; an answer that may leave shards out leaves that much earlier. More than 0.4 of the goal says something else (a repeat, a shorter wait) and counts as nothing.

--- a/crates/papayastack/src/forward/plan.rs
+++ b/crates/papayastack/src/forward/plan.rs
@@ -19,6 +19,8 @@
 /// The share of the latency goal after which an answer that covers enough shards is sent without
 /// waiting for the missing ones.
 const PARTIAL_ANSWER_GOAL_SHARE: f64 = 0.85;
+/// The largest share of the latency goal that a caller may have spent before it sent the request.
+const CONNECTING_GOAL_SHARE_MAX: f64 = 0.4;
 /// The share of the latency goal after which an attempt is hedged while no latencies are known.
 const HEDGE_DELAY_GOAL_SHARE_INITIAL: f64 = 0.3;
 /// The share of the latency goal after which an attempt is hedged at the latest.
@@ -40,16 +42,20 @@
     accepted + limit - margin
 }
 
-/// Returns when the caller began to wait for the answer to a request that it sent at `accepted` or
-/// before.
+/// Returns when the caller began to wait for the answer to a request that arrived at `accepted`.
 ///
-/// `remaining` is how long the caller still waited when it sent the request, if it said so.
+/// `remaining` is how long the caller still waited when it sent the request, if it said so. Callers
+/// wait for the route's time-out; what is missing was spent on an address and a connection. If much
+/// is missing, the caller has sent the request before, or waits less than the time-out: both say
+/// nothing about when it began.
 pub(crate) fn caller_started(
     accepted: Instant,
-    _route: &Route,
-    _remaining: Option<Duration>,
+    route: &Route,
+    remaining: Option<Duration>,
 ) -> Instant {
-    accepted
+    let spent = remaining.and_then(|remaining| route.timeout.checked_sub(remaining));
+    let plausible = |spent: &Duration| *spent <= route.goal.mul_f64(CONNECTING_GOAL_SHARE_MAX);
+    accepted - spent.filter(plausible).unwrap_or_default()
 }
 
 /// Returns the services that a request goes to; `choose_part` selects the part of a split route.
