Land a failing test for answers that leave just before a short goal

Cause: answers that leave shards out leave the VM at 51 ms at the latest. The two ways of 3 ms and 5 ms at the VM (62 measured by the callers, 57 expected) do not fit into the 9 ms left. Evidence: the simulated load with these times.

--- a/crates/papayastack/src/forward/tests/load.rs
+++ b/crates/papayastack/src/forward/tests/load.rs
@@ -194,3 +194,23 @@
     // The best answer without one shard of ten is worth 0.81.
     assert_mean_score(&totals, 0.81 * 0.9);
 }
+
+// Pattern: the same shard, a goal of 60 ms, and callers 3 ms away at VMs with a third of a core, which
+// take 5 ms to read a request and to merge and send its answer.
+#[test]
+fn answers_that_leave_a_saturated_shard_out_leave_time_for_the_way_back_before_a_short_goal() {
+    let saturated = Behaviour { slow_factor: 12.0, ..Behaviour::healthy() };
+    let totals = simulate_three_seeds(|seed| {
+        let mut kind = lookup(10, HIGH_LOAD_PER_S);
+        kind.route.goal = Duration::from_millis(60);
+        Scenario {
+            kinds: vec![kind],
+            behaviour: [0, 1, 2].into_iter().map(|upstream| (upstream, saturated)).collect(),
+            connecting: Duration::from_millis(14),
+            handling: Duration::from_millis(5),
+            ..deadline_board(HIGH_LOAD_PER_S, seed)
+        }
+    });
+
+    assert_mean_score(&totals, 0.81 * 0.9);
+}
--- a/crates/papayastack/src/forward/tests/model.rs
+++ b/crates/papayastack/src/forward/tests/model.rs
@@ -79,6 +79,8 @@
     pub(super) burst: Option<(f64, f64, f64)>,
     /// How long every other caller waits for an address and a connection before it sends.
     pub(super) connecting: Duration,
+    /// How long a VM takes to read a request and to merge and send its answer.
+    pub(super) handling: Duration,
     /// Whether VMs notify each other of silent upstreams.
     pub(super) vms_share_silence: bool,
     pub(super) length_s: f64,
@@ -156,6 +158,7 @@
         behaviour: BTreeMap::new(),
         burst: None,
         connecting: Duration::ZERO,
+        handling: Duration::ZERO,
         vms_share_silence: true,
         length_s: 20.0,
         seed,
@@ -398,6 +401,7 @@
             let (class, name) = (route_class(route, &self.document), limit_name(&target.services));
             let (elapsed, now) =
                 (self.now + delay + CALLER_NETWORK_DELAY - request.sent, self.now + delay);
+            let elapsed = elapsed + self.scenario.handling;
             let end = classify_request(loads, elapsed, route.goal);
             self.vms[request.vm].admission.release(&name, class, end, elapsed, now);
             if covered >= target.covered_min() && elapsed <= route.goal {
