Leave time for the way back before a short goal

Change: an answer that may leave shards out leaves 16 ms before the goal at the latest, but never before half of it.

--- a/crates/papayastack/src/forward/plan.rs
+++ b/crates/papayastack/src/forward/plan.rs
@@ -19,6 +19,9 @@
 /// The share of the latency goal after which an answer that covers enough shards is sent without
 /// waiting for the missing ones.
 const PARTIAL_ANSWER_GOAL_SHARE: f64 = 0.85;
+/// The time before the latency goal at which such an answer is sent at the latest. It covers both
+/// ways between caller and VM, and the VM's work on request and answer; 15% of a short goal does not.
+const PARTIAL_ANSWER_MARGIN: Duration = Duration::from_millis(16);
 /// The largest share of the latency goal that a caller may have spent before it sent the request.
 const CONNECTING_GOAL_SHARE_MAX: f64 = 0.4;
 /// The share of the latency goal after which an attempt is hedged while no latencies are known.
@@ -58,6 +61,13 @@
     accepted - spent.filter(plausible).unwrap_or_default()
 }
 
+/// Returns how long a caller waits until an answer that covers enough shards is sent.
+fn partial_answer_delay(goal: Duration) -> Duration {
+    // Half of the goal stays for the shards, however short it is.
+    let latest = goal.saturating_sub(PARTIAL_ANSWER_MARGIN).max(goal / 2);
+    goal.mul_f64(PARTIAL_ANSWER_GOAL_SHARE).min(latest)
+}
+
 /// Returns the services that a request goes to; `choose_part` selects the part of a split route.
 pub(crate) fn services_of(
     route: &Route,
@@ -96,7 +106,7 @@
 ) -> GatherSpec {
     let early_finish = match &route.target {
         RouteTarget::Shards(target) => Some(EarlyFinish {
-            at: caller_started + route.goal.mul_f64(PARTIAL_ANSWER_GOAL_SHARE),
+            at: caller_started + partial_answer_delay(route.goal),
             shards_min: target.covered_min(),
         }),
         RouteTarget::Service(_) | RouteTarget::Split(_) => None,
