--- a/crates/papayastack/src/forward/attempt.rs
+++ b/crates/papayastack/src/forward/attempt.rs
@@ -113,7 +113,7 @@
     /// Returns the target's reply, on a connection of this VM or else through an owner.
     async fn reply(&self) -> Result<UpstreamReply, AttemptEnd> {
         match self.direct_reply().await {
-            Err(error) if error == ExchangeError::NoConnectionFree => {}
+            Err(ExchangeError::NoConnectionFree) => {}
             Err(error) => return Err(end_without_reply(error)),
             Ok(end) => return end,
         }
@@ -121,6 +121,9 @@
             return Err(end_without_reply(ExchangeError::NoConnectionFree));
         }
         let reply = self.reply_through_owner().await?;
+        if self.is_for_another_request(&reply.headers) {
+            return Err(malformed("the reply carries the id of another request"));
+        }
         self.state.heed_reply(self.target, reply.status, &reply.headers, Instant::now());
         Ok(reply)
     }
@@ -132,7 +135,7 @@
     pub(crate) async fn direct_reply(
         &self,
     ) -> Result<Result<UpstreamReply, AttemptEnd>, ExchangeError> {
-        let Self { state, request, target, .. } = *self;
+        let Self { state, target, .. } = *self;
         let names = state.format.headers();
         let exchanged = state.pool.exchange(
             target.address,
@@ -154,7 +157,7 @@
         }
         state.record_link_sign(target, LinkSign::Replied);
         let (head, body) = response.into_parts();
-        if head.headers.get(&names.request_id).is_some_and(|id| *id != request.request_id) {
+        if self.is_for_another_request(&head.headers) {
             // The reply is to an earlier request; dropping the lease closes the connection.
             return Ok(Err(malformed("the reply carries the id of another request")));
         }
@@ -174,6 +177,11 @@
         Ok(Ok(UpstreamReply { status: head.status, headers: head.headers, body, load }))
     }
 
+    fn is_for_another_request(&self, reply: &HeaderMap) -> bool {
+        let id = reply.get(&self.state.format.headers().request_id);
+        id.is_some_and(|id| *id != self.request.request_id)
+    }
+
     /// Tells whether the request may be sent now; if so, it counts as sent.
     pub(crate) fn may_send(&self) -> bool {
         let may_send = self.state.may_send_to(self.target, self.class, self.chosen_at);
--- a/crates/papayastack/src/forward/tests/model.rs
+++ b/crates/papayastack/src/forward/tests/model.rs
@@ -330,7 +330,7 @@
         let RouteTarget::Shards(target) = &route.target else { return };
         let vm = self.random.random_range(0..self.scenario.vms);
         let connecting =
-            if self.sequence % 2 == 0 { self.scenario.connecting } else { Duration::ZERO };
+            if self.sequence.is_multiple_of(2) { self.scenario.connecting } else { Duration::ZERO };
         let delay = connecting + CALLER_NETWORK_DELAY;
         let accepted = self.now + delay;
         let remaining = route.timeout.saturating_sub(connecting);
--- a/crates/papayastack/src/forward/through_owner.rs
+++ b/crates/papayastack/src/forward/through_owner.rs
@@ -106,7 +106,13 @@
     /// It has sent nothing, so another owner may be asked; the attempt ends so if there is none.
     AskAnother(ExchangeError),
     /// The attempt has ended.
-    Ended(AttemptEnd),
+    Ended(Box<AttemptEnd>),
+}
+
+impl OwnerFailure {
+    fn ended(end: AttemptEnd) -> Self {
+        Self::Ended(Box::new(end))
+    }
 }
 
 impl Attempt<'_> {
@@ -125,7 +131,7 @@
             }
             match self.ask_owner(owner).await {
                 Ok(reply) => return Ok(reply),
-                Err(OwnerFailure::Ended(end)) => return Err(end),
+                Err(OwnerFailure::Ended(end)) => return Err(*end),
                 Err(OwnerFailure::AskAnother(why)) => {
                     not_sent = why;
                     tried.push(owner);
@@ -159,7 +165,7 @@
             Err(ExchangeError::AnswerLost { detail }) => {
                 state.peers().record_trouble(owner, Instant::now());
                 let lost = AttemptOutcome::Failed(FailureReason::OwnerLost);
-                return Err(OwnerFailure::Ended(AttemptEnd::new(lost, detail)));
+                return Err(OwnerFailure::ended(AttemptEnd::new(lost, detail)));
             }
             Err(ExchangeError::NotConnected { .. }) => {
                 state.peers().record_trouble(owner, Instant::now());
@@ -173,7 +179,7 @@
         let (head, body) = response.into_parts();
         let body = state.unfinished_bodies.read(body).await.map_err(|detail| {
             let lost = AttemptOutcome::Failed(FailureReason::OwnerLost);
-            OwnerFailure::Ended(AttemptEnd::new(lost, detail))
+            OwnerFailure::ended(AttemptEnd::new(lost, detail))
         })?;
         lease.release(&head.headers);
         let Some(outcome) = header_text(&head.headers, &OUTCOME_HEADER).and_then(OwnerOutcome::of)
@@ -195,7 +201,7 @@
     /// Returns what the outcome means to the VM that asked; `None` if there is a reply.
     fn into_failure(self) -> Option<OwnerFailure> {
         let failed = |reason, detail: &str| {
-            Some(OwnerFailure::Ended(AttemptEnd::new(AttemptOutcome::Failed(reason), detail)))
+            Some(OwnerFailure::ended(AttemptEnd::new(AttemptOutcome::Failed(reason), detail)))
         };
         match self {
             Self::Replied => None,
@@ -208,7 +214,7 @@
                 Some(OwnerFailure::AskAnother(ExchangeError::NotConnected { detail }))
             }
             Self::Withdrawn => {
-                Some(OwnerFailure::Ended(end_without_reply(ExchangeError::Withdrawn)))
+                Some(OwnerFailure::ended(end_without_reply(ExchangeError::Withdrawn)))
             }
             Self::AnswerLost => failed(FailureReason::AnswerLost, "the owner lost the reply"),
             Self::Malformed => failed(FailureReason::Malformed, "the owner got no valid reply"),
