Land a failing test for a VM none of whose owners serves

Cause: a VM whose part of the connections is zero has no way to the upstream if the owners it asks do not serve.

--- a/crates/papayastack-daemon/tests/gateway/through_owner.rs
+++ b/crates/papayastack-daemon/tests/gateway/through_owner.rs
@@ -5,8 +5,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use papayastack::{IngressFormat, ObjectName};
-use papayastack_platform::PlatformIngress;
+use papayastack::{FeedStore, IngressFormat, ListedState, ListedVm, ObjectName};
+use papayastack_platform::{PlatformIngress, PlatformStore};
 use papayastack_standin::PlatformStandin;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -235,3 +235,38 @@
     assert!(answer.contains("papaya-attempt-outcome: not_serving"), "{answer}");
     assert_eq!(other_service.arrived(), 0);
 }
+
+// Guards against a VM without a way to a shard, as where all owners run an earlier build or are
+// gone and the others have not noticed yet.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_vm_none_of_whose_owners_serves_sends_by_itself() {
+    const GONE_VMS: u16 = 200;
+    let store = start_store(None).await;
+    let limit = format!("\"max_connections\": {CONNECTIONS_MAX}");
+    let configuration = CONFIGURATION.replace("\"max_connections\": 40", &limit);
+    let configuration = serde_json::from_str(&configuration).expect("fixtures are JSON");
+    store.put_object(&ObjectName::new("config", "main"), configuration);
+    let listener = TcpListener::bind(any_port()).await.expect("a port is free");
+    put_backend(&store, 1, listener.local_addr().expect("a listener has an address"));
+    tokio::spawn(accept(listener, Arc::default()));
+    let client = PlatformStore::open(vec![store.address()]);
+    for number in 1..=GONE_VMS {
+        let address = SocketAddr::from(([127, 9, 0, (number % 250) as u8], number));
+        let data_centre = "a".to_owned();
+        let gone = ListedVm { address, data_centre, entry_vm: true, state: ListedState::Live };
+        client.register_vm(&gone).await.expect("the stand-in store takes writes");
+    }
+    let vm = GatewayProcess::start(store.address()).await;
+
+    vm.wait_until_served().await;
+    // The list of VMs has been read by then, and counts for three seconds.
+    tokio::time::sleep(Duration::from_millis(300)).await;
+
+    let mut served = 0;
+    for request in 0..REQUESTS {
+        let answer = exchange(vm.caller_address, &format!("alone-{request}")).await;
+        served += usize::from(answer.is_some_and(|answer| answer.starts_with("HTTP/1.1 200")));
+    }
+
+    assert_eq!(served, REQUESTS);
+}
