Send directly where none of an upstream's owners serves

Ruled out: more owners asked, one after the other: in a fleet that is being upgraded all three may run the earlier build, and an attempt has milliseconds. Change: a VM without connections of its own opens one if the owners that it asked do not serve others. An owner that serves but has no connection free is no reason. While owners do not serve, the sum may be exceeded by one for each such VM; a refused connection is known as not run.

--- a/crates/papayastack/src/forward/through_owner.rs
+++ b/crates/papayastack/src/forward/through_owner.rs
@@ -105,6 +105,8 @@
 enum OwnerFailure {
     /// It has sent nothing, so another owner may be asked; the attempt ends so if there is none.
     AskAnother(ExchangeError),
+    /// The same, since it does not serve others: it runs an earlier build, is gone or leaving.
+    NotServing,
     /// The attempt has ended.
     Ended(Box<AttemptEnd>),
 }
@@ -123,6 +125,7 @@
     pub(crate) async fn reply_through_owner(&self) -> Result<UpstreamReply, AttemptEnd> {
         let mut tried: Vec<VmAddress> = Vec::new();
         let mut not_sent = ExchangeError::NoConnectionFree;
+        let mut any_serves = false;
         while tried.len() < OWNERS_TRIED_MAX
             && let Some(owner) = self.choose_owner(&tried)
         {
@@ -134,11 +137,19 @@
                 Err(OwnerFailure::Ended(end)) => return Err(*end),
                 Err(OwnerFailure::AskAnother(why)) => {
                     not_sent = why;
+                    any_serves = true;
                     tried.push(owner);
                 }
+                Err(OwnerFailure::NotServing) => tried.push(owner),
             }
         }
-        Err(end_without_reply(not_sent))
+        if any_serves || self.access.connections_max > 0 {
+            return Err(end_without_reply(not_sent));
+        }
+        // No VM may be left without a way to a shard.
+        let access = UpstreamAccess { connections_max: 1, owners: Vec::new() };
+        let alone = Attempt { access: &access, ..*self };
+        alone.direct_reply().await.map_err(end_without_reply)?
     }
 
     fn choose_owner(&self, tried: &[VmAddress]) -> Option<VmAddress> {
@@ -169,7 +180,7 @@
             }
             Err(ExchangeError::NotConnected { .. }) => {
                 state.peers().record_trouble(owner, Instant::now());
-                return Err(OwnerFailure::AskAnother(ExchangeError::NoConnectionFree));
+                return Err(OwnerFailure::NotServing);
             }
             Err(error @ (ExchangeError::NoConnectionFree | ExchangeError::Withdrawn)) => {
                 return Err(OwnerFailure::AskAnother(error));
@@ -185,7 +196,7 @@
         let Some(outcome) = header_text(&head.headers, &OUTCOME_HEADER).and_then(OwnerOutcome::of)
         else {
             // An earlier build, which has no route for the request.
-            return Err(OwnerFailure::AskAnother(ExchangeError::NoConnectionFree));
+            return Err(OwnerFailure::NotServing);
         };
         if let Some(failure) = outcome.into_failure() {
             return Err(failure);
@@ -205,7 +216,8 @@
         };
         match self {
             Self::Replied => None,
-            Self::NotServing | Self::NoConnectionFree => {
+            Self::NotServing => Some(OwnerFailure::NotServing),
+            Self::NoConnectionFree => {
                 Some(OwnerFailure::AskAnother(ExchangeError::NoConnectionFree))
             }
             // The link of that owner alone may be lost.
