--- a/crates/papayastack/src/forward/attempt.rs
+++ b/crates/papayastack/src/forward/attempt.rs
@@ -128,10 +128,10 @@
         Ok(reply)
     }
 
-    /// Returns the target's reply on a connection of this VM, or the end of the attempt.
+    /// Returns the target's reply on a connection of this VM.
     ///
     /// # Errors
-    /// Fails if there is no reply.
+    /// The outer error says that no reply came, the inner one that the reply cannot be used.
     pub(crate) async fn direct_reply(
         &self,
     ) -> Result<Result<UpstreamReply, AttemptEnd>, ExchangeError> {
