Keep runs of the process tests apart; keep the lines of a soak's VMs

Cause: two runs at a time write the same settings files, `sound-N.json` in one directory, and share the membership's key. Played six at a time, twice, with the VMs' lines kept: 5 of 12 plays had findings. In those with 404 the VM's lines say `reloaded`, `changed: ["store_address"]` 10 s after its start, and no version after its first: it followed the other run's store. In the others `members_changed` counts up to 16 VMs where there are three, so that VMs of one run sent for those of another. Ruled out: the feeds and the stand-in store; a VM that kept its store has every version in its lines. Change: settings files are named by process, and the key by store and process. A soak writes the lines of its VMs to files, and keeps those of a seed with findings. No check was changed.

--- a/crates/papayastack-daemon/tests/gateway/soak.rs
+++ b/crates/papayastack-daemon/tests/gateway/soak.rs
@@ -4,6 +4,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -108,6 +109,8 @@
 
 struct Soak {
     started: Instant,
+    /// The directory of the lines of each process, named by VM and time of its start.
+    lines: PathBuf,
     store: PlatformStandin,
     store_troubled_at: Mutex<Option<Instant>>,
     vms: Mutex<Vec<VmState>>,
@@ -316,7 +319,9 @@
 /// Starts a VM in place of one that ended; `a` holds two VMs, `b` one.
 async fn start_vm(soak: &Soak, vm: usize) -> GatewayProcess {
     let data_centre = if vm + 1 < VMS { "a" } else { "b" };
-    let process = GatewayProcess::start_in(soak.store.address(), data_centre).await;
+    let mut process = GatewayProcess::start_in(soak.store.address(), data_centre).await;
+    process
+        .keep_lines(&soak.lines.join(format!("{vm}-{}.log", soak.started.elapsed().as_millis())));
     let state = VmState { address: process.caller_address, troubled_at: Instant::now() };
     match lock(&soak.vms).get_mut(vm) {
         Some(slot) => *slot = state,
@@ -380,10 +385,14 @@
         listeners.push(listener);
     }
     let started = Instant::now();
+    let lines = PathBuf::from(env!("CARGO_TARGET_TMPDIR"))
+        .join(format!("soak-{seed}-{}", std::process::id()));
+    std::fs::create_dir_all(&lines).expect("a directory can be made");
     let unused = any_port();
     let vms = (0..VMS).map(|_| VmState { address: unused, troubled_at: started }).collect();
     let soak = Arc::new(Soak {
         started,
+        lines,
         store,
         store_troubled_at: Mutex::new(None),
         vms: Mutex::new(vms),
@@ -453,6 +462,12 @@
     check_recovery(&soak, version).await;
     tasks.iter().for_each(|task| task.abort());
     let findings = lock(&soak.findings).clone();
+    if findings.is_empty() {
+        // Nothing depends on it: a later play of the seed has another directory.
+        let _ = std::fs::remove_dir_all(&soak.lines);
+    } else {
+        println!("seed {seed}: the lines of the VMs are in {}", soak.lines.display());
+    }
     let answered = *lock(&soak.answered);
     (findings, answered)
 }
--- a/crates/papayastack-daemon/tests/gateway/support.rs
+++ b/crates/papayastack-daemon/tests/gateway/support.rs
@@ -1,7 +1,8 @@
 //! A `papayad gateway` process with its stand-in store and upstream.
 
+use std::io::Write;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -168,7 +169,8 @@
 /// A running `papayad gateway`, which is killed on drop.
 pub(crate) struct GatewayProcess {
     child: Child,
-    lines: Lines<BufReader<ChildStdout>>,
+    /// The lines that are still to be read; `None` once they go to a file.
+    lines: Option<Lines<BufReader<ChildStdout>>>,
     pub(crate) caller_address: SocketAddr,
     pub(crate) link_address: SocketAddr,
     directory_address: SocketAddr,
@@ -196,7 +198,7 @@
         let caller_address = address("caller_address");
         let link_address = address("link_address");
         let directory_address = address("directory_address");
-        Self { child, lines, caller_address, link_address, directory_address }
+        Self { child, lines: Some(lines), caller_address, link_address, directory_address }
     }
 
     /// Sends requests until the upstream answers one.
@@ -237,7 +239,18 @@
 
     /// Returns the next decision log line of the event.
     pub(crate) async fn next_event(&mut self, event: &str) -> Value {
-        read_event(&mut self.lines, event).await
+        read_event(self.lines.as_mut().expect("the lines go to no file"), event).await
+    }
+
+    /// Writes all further lines to a file, for a test that may fail long after they were written.
+    pub(crate) fn keep_lines(&mut self, path: &Path) {
+        let mut lines = self.lines.take().expect("the lines go to no file yet");
+        let mut file = std::fs::File::create(path).expect("a file can be written");
+        tokio::spawn(async move {
+            while let Ok(Some(line)) = lines.next_line().await {
+                writeln!(file, "{line}").expect("a file can be written");
+            }
+        });
     }
 }
 
@@ -271,7 +284,9 @@
         "data_centres": { "a": "region", "b": "region" },
         "caller_address": any, "ready_address": any, "directory_address": any,
         "link_address": any, "operator_address": any, "store_address": store,
-        "system_keys": ["a key of the tests"], "address_lifetime_max_s": 1, "stop_grace_s": 4,
+        // Processes of other runs on this machine are no members.
+        "system_keys": [format!("a key of the tests at {store}, {}", std::process::id())],
+        "address_lifetime_max_s": 1, "stop_grace_s": 4,
         "repeats": { "window_s": 10, "per_request": 0.2, "extra": 56 },
     })
     .to_string()
@@ -280,7 +295,9 @@
 fn settings_file(name: &str, text: &str) -> PathBuf {
     static NEXT: AtomicUsize = AtomicUsize::new(0);
     let number = NEXT.fetch_add(1, Ordering::Relaxed);
-    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{number}.json"));
+    // Another run of these tests may go on beside this one; processes read their files again.
+    let file = format!("{name}-{}-{number}.json", std::process::id());
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(file);
     std::fs::write(&path, text).expect("a file can be written");
     path
 }
