Ask for no drain after an acknowledgement that the store's trouble follows at once

Cause: the check. Upstream 1's entry is removed at 1.5 s. VM 1 writes `upstream_unusable` at 2.2 s; VMs 0 and 2 are in the pause between two watches when the store falls silent, 0.8 s after the acknowledgement, and stays silent past the request (`store_lost` of VM 0 at 5.9 s, the lines kept by the soak). A VM is in touch only if the store was sound for the whole of `contact_ms` before; the soak asked that only of the moment of the acknowledgement. Ruled out: a fault of the feeds: VM 0's next watch goes into the silent store. Change: the soak forgets an acknowledgement that is younger than the time to drain when a trouble of the store begins; a sound store acknowledges anew. Troubles that begin later excuse nothing, which is stricter than the rule.

--- a/crates/papayastack-daemon/tests/gateway/soak.rs
+++ b/crates/papayastack-daemon/tests/gateway/soak.rs
@@ -59,6 +59,8 @@
     /// Whether its entry says that it leaves, or is removed.
     entry: EntryState,
     names_leaving: bool,
+    /// When a store that was sound acknowledged that it leaves; `None` again if the store was
+    /// troubled before the VMs had their time to learn of it.
     acknowledged_at: Option<Instant>,
     refuses_until: Option<Instant>,
     /// When each VM passed on that the upstream leaves.
@@ -356,6 +358,14 @@
 /// Begins or ends a trouble of the store.
 fn disturb_store(soak: &Soak, random: &mut StdRng, version: &mut u64) {
     *lock(&soak.store_troubled_at) = Some(Instant::now());
+    for (_, state) in &soak.upstreams {
+        let mut state = lock(state);
+        // VMs that have not learnt of it yet are out of touch from now on. A store that is sound
+        // again acknowledges anew.
+        if state.acknowledged_at.is_some_and(|at| at.elapsed() <= DRAIN) {
+            state.acknowledged_at = None;
+        }
+    }
     let chosen = random.random_range(0..7);
     soak.store.change_behaviour(|behaviour| {
         behaviour.unavailable = chosen == 0;
