--- a/crates/papayastack/src/vm/entry.rs
+++ b/crates/papayastack/src/vm/entry.rs
@@ -275,9 +275,9 @@
         );
         return Err(DeliveryRecord::new().refuse(RefusalReason::BadRequest, detail, None));
     }
-    let margin = Duration::from_millis(in_force.settings.routing.hop_margin_ms);
-    let deadline = context.accepted_at + Duration::from_millis(requested_ms);
-    let answer_by = deadline.checked_sub(margin).unwrap_or(context.accepted_at);
+    let hop_margin = Duration::from_millis(in_force.settings.routing.hop_margin_ms);
+    let requested = Duration::from_millis(requested_ms);
+    let answer_by = context.accepted_at + answer_time(requested, hop_margin);
     if answer_by < Instant::now() + DEADLINE_MIN {
         let detail =
             format!("`deadline_ms` {requested_ms} leaves no time to answer; use a longer deadline");
@@ -286,6 +286,12 @@
     Ok(answer_by)
 }
 
+/// Returns the time in which a query must be answered so that its answer reaches the caller within
+/// the `requested` time.
+fn answer_time(requested: Duration, hop_margin: Duration) -> Duration {
+    requested.saturating_sub(hop_margin)
+}
+
 /// Turns an answer without any shard into a refusal if overload is the only cause.
 fn refuse_if_all_overloaded(answer: Answer, counts: &FanoutCounts) -> Result<Answer, Refusal> {
     let coverage = answer.coverage();
