Give VMs of two stores one key again; bound the waits of the process tests

Five tests of `lost_links`, all that use `Pair`, ran for good; every other test had passed. The two VMs of `Pair` have a store each, so they never knew each other, and the fixture waited for that without a bound. Ruled out: the product; the VMs were right to ignore datagrams under another key. Change: a VM can be started as a member of the VMs at another store. Waits for what must come end after 60 s with a failure that says what did not come, so that no test holds up a run. No check was changed.

--- a/crates/papayastack-daemon/tests/gateway/lost_links.rs
+++ b/crates/papayastack-daemon/tests/gateway/lost_links.rs
@@ -14,7 +14,8 @@
 use tokio::task::JoinSet;
 
 use crate::support::{
-    CONFIGURATION, GatewayProcess, Upstream, any_port, put_backend, read_head, start_store,
+    CONFIGURATION, GatewayProcess, PATIENCE, Upstream, any_port, put_backend, read_head,
+    start_store,
 };
 
 const UPSTREAMS: usize = 5;
@@ -142,12 +143,12 @@
         };
         let client = PlatformStore::open(vec![stores[0].address()]);
         client.register_vm(&listed).await.expect("the stand-in store takes writes");
-        let cut = GatewayProcess::start(stores[0].address()).await;
+        let [own_store, others_store] = [stores[0].address(), stores[1].address()];
+        let cut = GatewayProcess::start_with_members_of(own_store, others_store).await;
         for vm in [&cut, &sound] {
             vm.wait_until_served().await;
-            while !vm.names(cut.caller_address).await || !vm.names(sound.caller_address).await {
-                tokio::time::sleep(Duration::from_millis(20)).await;
-            }
+            vm.wait_until_names(cut.caller_address).await;
+            vm.wait_until_names(sound.caller_address).await;
         }
         let pair = Self { cut, sound, proxies, upstreams, _stores: stores };
         pair.count_served(pair.cut.caller_address, "warm").await;
@@ -193,6 +194,16 @@
     answer.split(' ').nth(1)?.parse().ok()
 }
 
+/// Sends requests until the VM gives one the status.
+async fn wait_for_status(vm: &GatewayProcess, status: u16) {
+    let given = async {
+        while exchange(vm.caller_address, "warm").await != Some(status) {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, given).await.expect("a request gets the status");
+}
+
 async fn assert_served_while(links: Links) {
     let pair = Pair::start().await;
     pair.set_links(links);
@@ -269,9 +280,7 @@
         put_backend(&store, number, gone.local_addr().expect("a listener has an address"));
     }
     let vm = GatewayProcess::start(store.address()).await;
-    while exchange(vm.caller_address, "warm").await != Some(503) {
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
+    wait_for_status(&vm, 503).await;
 
     let started = Instant::now();
     for number in 0..REQUESTS {
@@ -295,9 +304,7 @@
         tokio::spawn(close_after_head(listener, Arc::clone(&attempts)));
     }
     let vm = GatewayProcess::start(store.address()).await;
-    while exchange(vm.caller_address, "warm").await != Some(502) {
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
+    wait_for_status(&vm, 502).await;
 
     let before = attempts.load(Ordering::Acquire);
     let head = format!(
--- a/crates/papayastack-daemon/tests/gateway/main.rs
+++ b/crates/papayastack-daemon/tests/gateway/main.rs
@@ -60,9 +60,7 @@
     let store = start_store(Some(&upstream)).await;
     let staying = GatewayProcess::start_in(store.address(), "a").await;
     let mut lost = GatewayProcess::start_in(store.address(), "b").await;
-    while !staying.names(lost.caller_address).await {
-        tokio::time::sleep(Duration::from_millis(10)).await;
-    }
+    staying.wait_until_names(lost.caller_address).await;
 
     lost.kill();
     lost.exit_code().await;
--- a/crates/papayastack-daemon/tests/gateway/support.rs
+++ b/crates/papayastack-daemon/tests/gateway/support.rs
@@ -21,6 +21,10 @@
     include_str!("../../../../platform/tests/fixtures/configuration.json");
 pub(crate) const BACKEND: &str = include_str!("../../../../platform/tests/fixtures/backend.json");
 
+/// How long a test waits for what must come, so that a VM that never does it fails the run instead
+/// of holding it up.
+pub(crate) const PATIENCE: Duration = Duration::from_secs(60);
+
 /// Starts a store that holds the configuration and, if `upstream` is given, its entry.
 pub(crate) async fn start_store(upstream: Option<&Upstream>) -> PlatformStandin {
     let store = PlatformStandin::bind(any_port()).await.expect("a port is free");
@@ -184,7 +188,19 @@
 
     /// Starts a process in a data centre; `a` and `b` form one region.
     pub(crate) async fn start_in(store: SocketAddr, data_centre: &str) -> Self {
-        let mut child = command(&settings_file("sound", &settings(store, data_centre)))
+        Self::start_with(&settings(store, data_centre, store)).await
+    }
+
+    /// Starts a process that shares the key of the VMs at another store.
+    pub(crate) async fn start_with_members_of(
+        store: SocketAddr,
+        members_store: SocketAddr,
+    ) -> Self {
+        Self::start_with(&settings(store, "a", members_store)).await
+    }
+
+    async fn start_with(settings: &str) -> Self {
+        let mut child = command(&settings_file("sound", settings))
             .stdout(Stdio::piped())
             .spawn()
             .expect("papayad runs");
@@ -203,9 +219,22 @@
 
     /// Sends requests until the upstream answers one.
     pub(crate) async fn wait_until_served(&self) {
-        while get(self.caller_address).await.as_deref() != Some("200 answer") {
-            tokio::time::sleep(Duration::from_millis(10)).await;
-        }
+        let served = async {
+            while get(self.caller_address).await.as_deref() != Some("200 answer") {
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        };
+        tokio::time::timeout(PATIENCE, served).await.expect("the upstream answers a request");
+    }
+
+    /// Waits until the process names the VM at `caller_address` to callers.
+    pub(crate) async fn wait_until_names(&self, caller_address: SocketAddr) {
+        let named = async {
+            while !self.names(caller_address).await {
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        };
+        tokio::time::timeout(PATIENCE, named).await.expect("the process names the other VM");
     }
 
     /// Tells whether the process names the VM at `caller_address` to callers.
@@ -277,7 +306,9 @@
     command
 }
 
-fn settings(store: SocketAddr, data_centre: &str) -> String {
+/// Returns the settings of a VM; VMs with the same `members_store` are members of one region, also
+/// where each has a store of its own.
+fn settings(store: SocketAddr, data_centre: &str, members_store: SocketAddr) -> String {
     let any = any_port();
     json!({
         "vm": "vm-1", "data_centre": data_centre,
@@ -285,7 +316,7 @@
         "caller_address": any, "ready_address": any, "directory_address": any,
         "link_address": any, "operator_address": any, "store_address": store,
         // Processes of other runs on this machine are no members.
-        "system_keys": [format!("a key of the tests at {store}, {}", std::process::id())],
+        "system_keys": [format!("a key of the tests at {members_store}, {}", std::process::id())],
         "address_lifetime_max_s": 1, "stop_grace_s": 4,
         "repeats": { "window_s": 10, "per_request": 0.2, "extra": 56 },
     })
--- a/crates/papayastack-daemon/tests/gateway/through_owner.rs
+++ b/crates/papayastack-daemon/tests/gateway/through_owner.rs
@@ -88,9 +88,7 @@
         }
         for vm in &vms {
             for other in &vms {
-                while !vm.names(other.caller_address).await {
-                    tokio::time::sleep(Duration::from_millis(20)).await;
-                }
+                vm.wait_until_names(other.caller_address).await;
             }
         }
         Self { vms, upstream, store }
