Leave callers' answers time for a pause on their way

Cause: the VM waited for the shard until 5 ms (`hop_margin_ms`) before the deadline; a longer pause anywhere on the way back lost the answer. Change: a tenth of the deadline, 40 ms at most, is kept for the way of an answer to a caller, `hop_margin_ms` if that is more. Weighed: a larger `hop_margin_ms`; it also shortens the hops between VMs and short deadlines.

--- a/crates/papayastack/src/settings/reference.rs
+++ b/crates/papayastack/src/settings/reference.rs
@@ -178,7 +178,8 @@
         "/routing/hop_margin_ms",
         "milliseconds",
         (0, 1_000),
-        "The part of a deadline reserved for returning the answer over one hop.",
+        "The part of a deadline reserved for returning the answer over one hop. Towards callers a tenth \
+         of the deadline, 40 ms at most, is reserved if that is more.",
     ),
     Setting::number(
         "/routing/ejection_ms",
--- a/crates/papayastack/src/vm/entry.rs
+++ b/crates/papayastack/src/vm/entry.rs
@@ -24,6 +24,10 @@
 const HITS_LIMIT_DEFAULT: u32 = 100;
 /// The least time that must remain before the deadline to start a query.
 const DEADLINE_MIN: Duration = Duration::from_millis(2);
+/// The part of a query's time that is kept for the way of its answer: one in this many.
+const ANSWER_MARGIN_DIVISOR: u32 = 10;
+/// The most time that is kept for the way of an answer.
+const ANSWER_MARGIN_MAX: Duration = Duration::from_millis(40);
 /// How long a refused caller is told to wait if the VM is not ready or every replica is overloaded.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -289,7 +293,8 @@
 /// Returns the time in which a query must be answered so that its answer reaches the caller within
 /// the `requested` time.
 fn answer_time(requested: Duration, hop_margin: Duration) -> Duration {
-    requested.saturating_sub(hop_margin)
+    let margin = (requested / ANSWER_MARGIN_DIVISOR).min(ANSWER_MARGIN_MAX).max(hop_margin);
+    requested.saturating_sub(margin)
 }
 
 /// Turns an answer without any shard into a refusal if overload is the only cause.
