Land failing tests for calls to the store that grow with the fleet

Cause: every VM gathers changes for 1.2 s after each one before it watches again, so that its calls stay few; a change within that pause waits for its end. Tests: a fleet in virtual time on one store, with VMs that the store treats otherwise. The third holds: VMs in touch with the store learn in time, whatever fails at others.

--- a/crates/papayastack/src/forward/tests/feeds.rs
+++ b/crates/papayastack/src/forward/tests/feeds.rs
@@ -1,6 +1,6 @@
 //! Tests of the feeds in virtual time, against a store with scripted answers.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
@@ -120,11 +120,22 @@
 }
 
 pub(super) fn state() -> Arc<ForwardState> {
+    let (_, members) = watch::channel(Arc::new(MemberView::default()));
+    state_of(&["a"], 0, members)
+}
+
+/// Returns the state of a VM in one of the data centres, which form one region.
+pub(super) fn state_of(
+    data_centres: &[&str],
+    vm: usize,
+    members: watch::Receiver<Arc<MemberView>>,
+) -> Arc<ForwardState> {
     let address = ([127, 0, 0, 1], 0).into();
+    let region = |name: &&str| ((*name).to_owned(), "region".to_owned());
     let settings = GatewaySettings {
-        vm: "front-1".to_owned(),
-        data_centre: "a".to_owned(),
-        data_centres: BTreeMap::from([("a".to_owned(), "region".to_owned())]),
+        vm: format!("front-{}", vm + 1),
+        data_centre: data_centres[vm % data_centres.len()].to_owned(),
+        data_centres: data_centres.iter().map(region).collect(),
         caller_address: address,
         ready_address: address,
         directory_address: address,
@@ -150,7 +161,6 @@
         part_seals: name("seals"),
         parts_missing: name("missing"),
     };
-    let (_, members) = watch::channel(Arc::new(MemberView::default()));
     Arc::new(ForwardState::new(
         settings,
         Arc::new(StubFormat(headers)),
--- a/crates/papayastack/src/forward/tests/mod.rs
+++ b/crates/papayastack/src/forward/tests/mod.rs
@@ -3,6 +3,7 @@
 mod connections;
 mod fan_out;
 mod feeds;
+mod fleet_feeds;
 mod limits;
 mod links;
 mod load;
