Let few VMs read the store for the others

Cause: each VM watched for itself, and paused 1.2 s after each change to keep its calls few. Change: three VMs of a region, or one in 64, read the store; the others keep one question open at one of them (`forward::peer_feed`, `following`). A reader watches again at once after a calm time and gathers changes while there are many. Entries that only say that an upstream is less cold are no news. Where no reader answers, a VM reads for itself as before. `watcher_rank` moved from `configuration` to `routing::readers_first`, so that both paths choose readers in one way.

--- a/crates/papayastack/src/configuration/machine.rs
+++ b/crates/papayastack/src/configuration/machine.rs
@@ -15,10 +15,10 @@
 use super::peer_versions::PeerVersions;
 use super::store::{ConfigurationStore, OfferOutcome, RefusedDocument};
 use super::watch_schedule::{CallOutcome, WatchSchedule};
-use super::watcher_selection::watcher_rank;
 use crate::ids::{SiteName, VmAddress};
 use crate::membership::MemberView;
 use crate::platform::{Object, ObjectName, ObjectVersion, PlatformError};
+use crate::routing::readers_first;
 use crate::settings::PlatformSettings;
 
 /// How long a starting VM defers documents from the platform, which may come from a stale replica,
@@ -341,8 +341,10 @@
     }
 
     fn update_watcher_rank(&mut self) {
-        let settings = self.store.in_force().map(|in_force| &*in_force.settings);
-        self.watcher_rank = watcher_rank(self.own_address, &self.members, settings);
+        let data_centres = self.store.in_force().map(|in_force| &in_force.settings.data_centres);
+        let ranked = readers_first(self.own_address, &self.members, data_centres);
+        self.watcher_rank =
+            ranked.and_then(|vms| vms.iter().position(|vm| *vm == self.own_address));
     }
 
     fn platform_settings(&self) -> PlatformSettings {
--- a/crates/papayastack/src/configuration/mod.rs
+++ b/crates/papayastack/src/configuration/mod.rs
@@ -17,7 +17,6 @@
 #[cfg(test)]
 mod tests;
 mod watch_schedule;
-mod watcher_selection;
 
 pub use apply::{ApplyInput, ApplyMachine, ApplyOutcome, ApplyOutput, ApplyRequest, RaceReport};
 pub use apply_driver::apply;
--- a/crates/papayastack/src/forward/feeds.rs
+++ b/crates/papayastack/src/forward/feeds.rs
@@ -13,6 +13,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::interface::{Change, FeedStore, Freshness, NamedEntry, StorePosition};
+use super::pace::{Backoff, WatchPace};
 use super::route::{RouteDocument, RouteTable};
 use super::state::ForwardState;
 use crate::ids::{RegionName, VmAddress};
@@ -20,26 +21,27 @@
 use crate::observe::{DecisionEvent, first_names};
 use crate::platform::{ListedState, ListedVm, PlatformError, StoreEra};
 
-/// The pause between two watches of upstreams, which batches changes: the platform charges for each
-/// call, and an upstream still serves for seconds after it announced that it is leaving.
-const UPSTREAMS_WATCH_PAUSE: Duration = Duration::from_millis(1_200);
 /// The pause between two watches of upstreams after a failure of the store, and while requests find
 /// a service without upstreams, as after an outage in which all entries expired.
 const UPSTREAMS_WATCH_PAUSE_SHORT: Duration = Duration::from_millis(200);
 /// The pause between two watches of the routes.
 const ROUTES_WATCH_PAUSE: Duration = Duration::from_millis(100);
-/// The first pause after a failed call.
-const BACKOFF_INITIAL: Duration = Duration::from_millis(100);
-/// The longest pause after failed calls, short so that changes are read soon after an outage.
-const BACKOFF_MAX: Duration = Duration::from_millis(1_200);
-/// The longest pause after failed calls while this VM cannot serve requests without the store.
-const BACKOFF_NOT_READY_MAX: Duration = Duration::from_millis(300);
 /// How long another VM may have newer routes in force before this VM lists them again; a working
 /// watch delivers them within that time.
 const BEHIND_PEERS_MAX: Duration = Duration::from_millis(600);
 /// The longest time without an answer of the store before this VM checks that it answers; longer
 /// silence may hide a lost answer to a watch. The check may lag and so costs a tenth of a call.
 const STORE_CHECK_INTERVAL: Duration = Duration::from_millis(2_500);
+/// The same while other VMs learn from this one: what the store does not show them soon, they must
+/// read themselves.
+const STORE_CHECK_INTERVAL_FOLLOWED: Duration = Duration::from_millis(700);
+/// The same while this VM learns from another one and has no watch that could be lost.
+const STORE_CHECK_INTERVAL_COVERED: Duration = Duration::from_secs(10);
+/// How long a VM that has read everything waits for another VM that reads the store for it.
+const COVER_WAIT: Duration = Duration::from_millis(1_000);
+/// The longest pause before this VM reads the store itself once no other VM does so for it; it keeps
+/// all VMs from asking at once.
+const COVER_ENDED_JITTER_MAX: Duration = Duration::from_millis(150);
 /// The longest pause before this VM writes its record again to a store back from an older copy.
 const RECORD_JITTER_MAX: Duration = Duration::from_millis(500);
 /// The longest pause before the first list of VMs. A VM that starts again needs it at once: its
@@ -50,35 +52,6 @@
 /// The longest pause between two lists of VMs while no other VM is known.
 const VM_LIST_PAUSE_MAX: Duration = Duration::from_secs(30);
 
-/// Exponential back-off with jitter after failed calls.
-struct Backoff {
-    failures: u32,
-}
-
-impl Backoff {
-    fn new() -> Self {
-        Self { failures: 0 }
-    }
-
-    /// Returns the pause after a failed call, at least the `retry_after` of the store.
-    fn pause(&mut self, error: &PlatformError, is_ready: bool) -> Duration {
-        let doubled = BACKOFF_INITIAL * 2_u32.saturating_pow(self.failures.min(8));
-        self.failures += 1;
-        let longest = if is_ready { BACKOFF_MAX } else { BACKOFF_NOT_READY_MAX };
-        let pause = doubled.min(longest).mul_f64(rand::rng().random_range(0.7..1.0));
-        match error {
-            PlatformError::RateLimited { retry_after } => {
-                pause.max(retry_after.mul_f64(rand::rng().random_range(1.0..1.5)))
-            }
-            _ => pause,
-        }
-    }
-
-    fn reset(&mut self) {
-        self.failures = 0;
-    }
-}
-
 /// Counts one feed's calls to the store and logs when the store fails and answers again.
 struct StoreAvailability {
     state: Arc<ForwardState>,
@@ -178,10 +151,10 @@
     // The first list may lag, since the watch after it delivers what it lacks. Later lists replace
     // a history of changes that the store no longer has, so they must be current.
     let mut freshness = Freshness::MayLag;
-    let mut eras = store.eras();
+    let mut pace = WatchPace::new(now());
     let mut era_before = None;
     loop {
-        let mut position = match store.list_upstreams(freshness).await {
+        let listed = match store.list_upstreams(freshness).await {
             Ok(listing) => {
                 backoff.reset();
                 availability.call_answered();
@@ -189,7 +162,7 @@
                 if era_before.replace(era).is_some_and(|before| before != era) {
                     state.registry().store_reset(now());
                 }
-                state.update_registry(|registry| registry.on_list(listing.entries, now()));
+                state.learn_list(listing.entries, listing.position, now());
                 freshness = Freshness::Current;
                 listing.position
             }
@@ -199,58 +172,114 @@
                 continue;
             }
         };
-        loop {
-            let needed = state.upstreams_needed.notified();
-            sleep(UPSTREAMS_WATCH_PAUSE_SHORT).await;
-            // After a failure the pause stays short: the upstream of a removed entry is used for
-            // some time longer, so the removal must be noticed soon.
-            let failed_recently = state.registry().store_failed_recently(now());
-            if !failed_recently {
-                // Ends early if a request found a service without upstreams.
-                let _ = timeout(UPSTREAMS_WATCH_PAUSE - UPSTREAMS_WATCH_PAUSE_SHORT, needed).await;
+        let reason =
+            watch_upstreams(&state, &*store, listed, &mut pace, &mut backoff, &mut availability)
+                .await;
+        availability.relisting(reason);
+    }
+}
+
+/// Watches the upstreams, or lets other VMs do so, until they have to be listed again.
+async fn watch_upstreams(
+    state: &ForwardState,
+    store: &dyn FeedStore,
+    listed: StorePosition,
+    pace: &mut WatchPace,
+    backoff: &mut Backoff,
+    availability: &mut StoreAvailability,
+) -> RelistReason {
+    let mut eras = store.eras();
+    let needed = state.upstreams_needed.notified();
+    tokio::select! {
+        () = wait_for_cover(state) => {}
+        () = needed => {}
+    }
+    loop {
+        gather_changes(state, pace).await;
+        tokio::select! {
+            () = wait_while_covered(state) => {}
+            () = wait_for_later_era(&mut eras, listed.era) => return RelistReason::StoreReset,
+        }
+        state.update_registry(|registry| registry.on_tick(now()));
+        state.set_reads_store(true);
+        let (next_wake, recheck_at) = {
+            let registry = state.registry();
+            (registry.next_wake(), registry.recheck_at())
+        };
+        // Another VM may have told of later changes.
+        let after = state.feed().history.position().unwrap_or(listed).revision;
+        let (started, wait) = (now(), state.store_health.watch_wait(now()));
+        let outcome = tokio::select! {
+            outcome = store.watch_upstreams(after, wait) => outcome,
+            () = state.store_health.watch_is_doubtful(started, wait) => continue,
+            () = sleep_until_some(next_wake) => {
+                state.update_registry(|registry| registry.on_tick(now()));
+                continue;
             }
-            state.update_registry(|registry| registry.on_tick(now()));
-            let (next_wake, recheck_at) = {
-                let registry = state.registry();
-                (registry.next_wake(), registry.recheck_at())
-            };
-            let (started, wait) = (now(), state.store_health.watch_wait(now()));
-            let outcome = tokio::select! {
-                outcome = store.watch_upstreams(position.revision, wait) => outcome,
-                () = state.store_health.watch_is_doubtful(started, wait) => continue,
-                () = sleep_until_some(next_wake) => {
-                    state.update_registry(|registry| registry.on_tick(now()));
-                    continue;
-                }
-                () = wait_for_later_era(&mut eras, position.era) => {
-                    availability.relisting(RelistReason::StoreReset);
-                    break;
-                }
-                () = sleep_until_some(recheck_at) => {
-                    availability.relisting(RelistReason::OlderEntries);
-                    break;
-                }
-            };
-            match outcome {
-                Ok(changes) => {
-                    backoff.reset();
-                    availability.call_answered();
-                    if changes.position.era != position.era {
-                        availability.relisting(RelistReason::StoreReset);
-                        break;
-                    }
-                    position.revision = position.revision.max(changes.position.revision);
-                    state.update_registry(|registry| registry.on_changes(changes.changes, now()));
-                }
-                Err(PlatformError::HistoryGone) => {
-                    availability.relisting(RelistReason::HistoryGone);
-                    break;
+            () = wait_for_later_era(&mut eras, listed.era) => return RelistReason::StoreReset,
+            () = sleep_until_some(recheck_at) => return RelistReason::OlderEntries,
+        };
+        match outcome {
+            Ok(changes) => {
+                backoff.reset();
+                availability.call_answered();
+                if changes.position.era != listed.era {
+                    return RelistReason::StoreReset;
                 }
-                Err(error) => {
-                    state.registry().store_failed(now());
-                    availability.wait_after_failure(&error, &mut backoff).await;
+                state.learn_changes(changes.changes, changes.position, now());
+            }
+            Err(PlatformError::HistoryGone) => return RelistReason::HistoryGone,
+            Err(error) => {
+                state.set_reads_store(false);
+                state.registry().store_failed(now());
+                availability.wait_after_failure(&error, backoff).await;
+            }
+        }
+    }
+}
+
+/// Waits for the next watch of the upstreams, in which further changes gather.
+async fn gather_changes(state: &ForwardState, pace: &mut WatchPace) {
+    // After a failure the pause stays short: the upstream of a removed entry is used for some time
+    // longer, so the removal must be noticed soon.
+    if state.registry().store_failed_recently(now()) {
+        sleep(UPSTREAMS_WATCH_PAUSE_SHORT).await;
+        return;
+    }
+    let needed = state.upstreams_needed.notified();
+    let pause = pace.take(state.feed_role.borrow().watch_interval, now());
+    sleep(pause.min(UPSTREAMS_WATCH_PAUSE_SHORT)).await;
+    // Ends early if a request found a service without upstreams.
+    let _ = timeout(pause.saturating_sub(UPSTREAMS_WATCH_PAUSE_SHORT), needed).await;
+}
+
+/// Waits a moment for another VM that reads the store for this one, unless this VM does so for others.
+async fn wait_for_cover(state: &ForwardState) {
+    let mut covered_until = state.covered_until.subscribe();
+    let mut role = state.feed_role.subscribe();
+    // Errors cannot occur: `state` holds the senders.
+    tokio::select! {
+        _ = covered_until.wait_for(Option::is_some) => {}
+        _ = role.wait_for(|role| role.reads_for_others) => {}
+        () = sleep(COVER_WAIT) => {}
+    }
+}
+
+/// Returns once this VM has to read the store itself; drops upstreams whose hold ends meanwhile.
+async fn wait_while_covered(state: &ForwardState) {
+    while state.is_covered(now()) {
+        state.set_reads_store(false);
+        let next_wake = state.registry().next_wake();
+        tokio::select! {
+            () = state.cover_ended() => {
+                if !state.feed_role.borrow().readers.is_empty() {
+                    let jitter = rand::rng().random_range(0.0..1.0);
+                    sleep(COVER_ENDED_JITTER_MAX.mul_f64(jitter)).await;
                 }
             }
+            () = sleep_until_some(next_wake) => {
+                state.update_registry(|registry| registry.on_tick(now()));
+            }
         }
     }
 }
@@ -272,7 +301,7 @@
 }
 
 /// Returns the time of Tokio's clock, which tests can pause.
-fn now() -> Instant {
+pub(crate) fn now() -> Instant {
     tokio::time::Instant::now().into_std()
 }
 
@@ -296,8 +325,18 @@
                 continue;
             }
         };
+        wait_for_cover(&state).await;
         loop {
             sleep(ROUTES_WATCH_PAUSE).await;
+            let relist = tokio::select! {
+                () = wait_while_covered(&state) => None,
+                () = wait_for_later_era(&mut eras, position.era) => Some(RelistReason::StoreReset),
+                () = wait_until_behind_peers(&state) => Some(RelistReason::BehindPeers),
+            };
+            if let Some(reason) = relist {
+                availability.relisting(reason);
+                break;
+            }
             let (started, wait) = (now(), state.store_health.watch_wait(now()));
             let outcome = tokio::select! {
                 outcome = store.watch_routes(position.revision, wait) => outcome,
@@ -363,15 +402,19 @@
     }
 }
 
-/// The call whose answer held a document of routes.
+/// Where a document of routes comes from.
 #[closed_set]
-enum RoutesSource {
+pub(crate) enum RoutesSource {
+    /// A list of the store.
     List,
+    /// A watch of the store.
     Watch,
+    /// The answer of another VM.
+    Peer,
 }
 
 /// Puts a document of routes in force if it is newer than the current one.
-fn apply_routes(
+pub(crate) fn apply_routes(
     state: &ForwardState,
     entry: NamedEntry<RouteDocument>,
     source: RoutesSource,
@@ -428,9 +471,10 @@
         backoff.reset();
         let mut is_recorded = true;
         while is_recorded {
-            let silent_at = state.store_health.silent_at(STORE_CHECK_INTERVAL, now());
+            let silent_at = state.store_health.silent_at(store_check_interval(&state), now());
             tokio::select! {
                 () = tokio::time::sleep_until(silent_at.into()) => {}
+                () = store_check_due_sooner(&state) => {}
                 () = wait_for_later_era(&mut eras, era) => {
                     // Jitter keeps the VMs from writing their records all at once.
                     let jitter = rand::rng().random_range(0.0..1.0);
@@ -438,7 +482,7 @@
                     break;
                 }
             }
-            if state.store_health.answered_within(STORE_CHECK_INTERVAL, now()) {
+            if state.store_health.answered_within(store_check_interval(&state), now()) {
                 continue;
             }
             match store.is_recorded(&own).await {
@@ -453,6 +497,26 @@
     }
 }
 
+/// Returns the longest time without an answer of the store before this VM checks that it answers.
+fn store_check_interval(state: &ForwardState) -> Duration {
+    if state.is_covered(now()) {
+        STORE_CHECK_INTERVAL_COVERED
+    } else if state.feed().is_followed(now()) {
+        STORE_CHECK_INTERVAL_FOLLOWED
+    } else {
+        STORE_CHECK_INTERVAL
+    }
+}
+
+/// Returns once [`store_check_interval`] has become shorter.
+async fn store_check_due_sooner(state: &ForwardState) {
+    if state.is_covered(now()) {
+        state.cover_ended().await;
+    } else {
+        state.feed_followed.notified().await;
+    }
+}
+
 /// Finds the other VMs in the store's records; lists them again only while none is known.
 pub(crate) async fn discover_vms(
     state: Arc<ForwardState>,
@@ -495,6 +559,7 @@
     loop {
         let view = members.borrow_and_update().clone();
         state.set_members(&view, now());
+        state.update_feed_role(&view);
         state.peers().retain_members(&view);
         let live: BTreeSet<VmAddress> = view.live().map(|member| member.identity.address).collect();
         let unreachable = &view.unreachable_regions;
--- a/crates/papayastack/src/forward/gateway.rs
+++ b/crates/papayastack/src/forward/gateway.rs
@@ -12,6 +12,7 @@
 use tokio::task::JoinHandle;
 
 use super::feeds::{discover_vms, follow_members, spawn_feeds};
+use super::following::{HttpFeedPeers, follow_readers};
 use super::ingress::{caller_router, directory_router, ready_router, relay_router};
 use super::interface::{FeedStore, IngressFormat};
 use super::limits::report_limits;
@@ -131,6 +132,7 @@
             .await
             .change_context(GatewayError::Bind { address: operator_address })?;
         membership.set_caller_address(caller_server.address());
+        let peers = Arc::new(HttpFeedPeers(Arc::clone(&state)));
         let mut tasks = spawn_feeds(&state, Arc::clone(&store), membership.address());
         tasks.extend([
             tokio::spawn(discover_vms(Arc::clone(&state), store, Arc::clone(&membership))),
@@ -138,6 +140,7 @@
             tokio::spawn(report_silence(Arc::clone(&state), Arc::clone(&membership))),
             tokio::spawn(watch_links(Arc::clone(&state), Arc::clone(&membership))),
             tokio::spawn(report_limits(Arc::clone(&state), Arc::clone(&membership))),
+            tokio::spawn(follow_readers(Arc::clone(&state), peers)),
             tokio::spawn(follow_members(Arc::clone(&state), Arc::clone(&membership))),
         ]);
         state.log.write(DecisionEvent::Started, || {
@@ -202,6 +205,7 @@
         let in_flight = self.in_flight();
         self.state.log.write(DecisionEvent::Stopping, || json!({ "in_flight": in_flight }));
         self.state.leaving.store(true, Ordering::Release);
+        self.state.wake_followers();
         self.membership.leave();
         self.caller_server.retire();
         self.relay_server.retire();
--- a/crates/papayastack/src/forward/ingress.rs
+++ b/crates/papayastack/src/forward/ingress.rs
@@ -18,6 +18,7 @@
 
 use super::attempt::{CallerRequest, UpstreamReply};
 use super::exchange::{Exchange, ExchangeTask, SlowAttempt};
+use super::following::{QUESTION_HEADER, serve_question};
 use super::overload::{ShardLoad, classify_request, limit_name, route_class};
 use super::plan::{answer_deadline, caller_started, gather_spec, services_of};
 use super::relay::{ATTEMPTS_HEADER, OUTCOME_HEADER, RelayOutcome, RelayTask};
@@ -126,6 +127,9 @@
 }
 
 async fn forward_for_vm(State(state): State<Arc<ForwardState>>, request: Request) -> Response {
+    if request.headers().contains_key(&QUESTION_HEADER) {
+        return serve_question(&state, request).await;
+    }
     if request.headers().contains_key(&UPSTREAM_HEADER) {
         return attempt_for_vm(&state, request).await;
     }
--- a/crates/papayastack/src/forward/interface.rs
+++ b/crates/papayastack/src/forward/interface.rs
@@ -5,7 +5,7 @@
 use async_trait::async_trait;
 use axum::http::{HeaderName, Uri};
 use bytes::Bytes;
-use papayastack_macros::{closed_set, value};
+use papayastack_macros::{closed_set, message, value};
 use tokio::sync::watch;
 
 use super::registry::UpstreamEntry;
@@ -17,7 +17,7 @@
 pub type StoreRevision = u64;
 
 /// A point in the history of the store.
-#[value]
+#[message]
 #[derive(Copy)]
 pub struct StorePosition {
     /// The era of the revision.
--- a/crates/papayastack/src/forward/mod.rs
+++ b/crates/papayastack/src/forward/mod.rs
@@ -14,6 +14,10 @@
 //! | `ingress` | the HTTP endpoints for callers |
 //! | `response` | the outcome of a request and the HTTP response for it |
 //! | `feeds` | lists and watches of the store: upstreams, routes, other VMs |
+//! | `history` | the entries of upstreams by the revision of their last change |
+//! | `peer_feed` | what VMs tell each other of the store: roles, questions and answers |
+//! | `following` | the task that asks another VM, and the answers to those that ask |
+//! | `pace` | how soon a feed calls the store again |
 //! | `store_health` | how long a watch is trusted; retries by one feed at a time |
 //! | `limits` | reports between VMs about upstreams that limit their rate |
 //! | `links` | whether this VM still reaches the upstreams |
@@ -31,7 +35,9 @@
 mod attempt;
 mod exchange;
 mod feeds;
+mod following;
 mod gateway;
+mod history;
 mod ingress;
 mod interface;
 mod limits;
@@ -41,6 +47,8 @@
 mod operators;
 mod overload;
 mod owners;
+mod pace;
+mod peer_feed;
 mod plan;
 mod probing;
 mod records;
--- a/crates/papayastack/src/forward/registry.rs
+++ b/crates/papayastack/src/forward/registry.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use papayastack_macros::{closed_set, value};
+use papayastack_macros::{closed_set, message, value};
 
 use serde_json::json;
 
@@ -27,7 +27,7 @@
 const REMOVED_RETENTION: Duration = Duration::from_secs(60);
 
 /// The entry that an upstream writes about itself to the store.
-#[value]
+#[message]
 pub struct UpstreamEntry {
     /// The service that the upstream belongs to.
     pub service: ServiceName,
@@ -195,9 +195,10 @@
 }
 
 impl Registry {
-    /// Records a failed call to the store, after which missing entries are held for a time.
-    pub(crate) fn store_failed(&mut self, now: Instant) {
-        self.store_failed_at = Some(now);
+    /// Records a call to the store that failed, here or at the VM that reads for this one; missing
+    /// entries are held for a time after it.
+    pub(crate) fn store_failed(&mut self, at: Instant) {
+        self.store_failed_at = self.store_failed_at.max(Some(at));
     }
 
     /// Records that the store came back from an older copy. What is missing there is held, since it
@@ -209,6 +210,12 @@
         self.recheck_at = None;
     }
 
+    /// Tells whether entries may be from an older copy of the store. Only the store itself shows which
+    /// of them are still updated.
+    pub(crate) fn has_older_copy(&self) -> bool {
+        self.lists_older_copy || !self.older_copy.is_empty()
+    }
+
     /// Returns when another list is due, since entries of the older copy may belong to upstreams
     /// that still run.
     pub(crate) fn recheck_at(&self) -> Option<Instant> {
@@ -396,6 +403,7 @@
 
     /// Drops a removed entry; holds a ready upstream instead if the store failed recently.
     fn on_removed(&mut self, id: &str, now: Instant, events: &mut Vec<RegistryEvent>) {
+        self.older_copy.remove(id);
         let Some(known) = self.known.get(id) else { return };
         if known.held_until.is_some() {
             return;
--- a/crates/papayastack/src/forward/route.rs
+++ b/crates/papayastack/src/forward/route.rs
@@ -4,12 +4,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use papayastack_macros::{closed_set, value};
+use papayastack_macros::{closed_set, message};
 
 use crate::ids::ServiceName;
 
 /// One complete version of the routing configuration.
-#[value]
+#[message]
 pub struct RouteDocument {
     /// The version; a later document has a higher one.
     pub version: u64,
@@ -22,7 +22,7 @@
 }
 
 /// The configuration of one service.
-#[value]
+#[message]
 #[derive(Copy)]
 pub struct ServiceEntry {
     /// The most connections that one upstream accepts from all VMs together.
@@ -30,7 +30,7 @@
 }
 
 /// Limits on the size of callers' requests and on the time to send them.
-#[value]
+#[message]
 #[derive(Copy)]
 pub struct CallerLimits {
     /// The largest header section of a request in bytes.
@@ -44,7 +44,7 @@
 }
 
 /// Where the requests for one host and path prefix go, and how they are treated.
-#[value]
+#[message]
 pub struct Route {
     /// The unique name of the route.
     pub name: String,
@@ -67,7 +67,7 @@
 }
 
 /// Where the requests of a route go.
-#[value]
+#[message]
 pub enum RouteTarget {
     /// To one upstream of a service.
     Service(ServiceName),
@@ -78,7 +78,7 @@
 }
 
 /// One service of a split route.
-#[value]
+#[message]
 pub struct SplitPart {
     /// The service that gets a share of the requests.
     pub service: ServiceName,
@@ -87,7 +87,7 @@
 }
 
 /// The shards of a route and the requirements on an answer.
-#[value]
+#[message]
 pub struct ShardTarget {
     /// One service for each shard.
     pub services: Arc<[ServiceName]>,
--- a/crates/papayastack/src/forward/state.rs
+++ b/crates/papayastack/src/forward/state.rs
@@ -12,12 +12,13 @@
 use tokio::sync::{Notify, watch};
 
 use super::attempt::{parse_limit, refusal_duration};
-use super::interface::IngressFormat;
+use super::interface::{Change, IngressFormat, NamedEntry, StorePosition};
 use super::links::{LinkChange, LinkSign, UpstreamLinks};
 use super::metrics::ForwardMetrics;
 use super::owners::{UpstreamAccess, UpstreamOwners};
+use super::peer_feed::{FeedRole, PeerFeed};
 use super::plan::replicas_of;
-use super::registry::{Registry, RegistryEvent, UpstreamSet, UpstreamTarget};
+use super::registry::{Registry, RegistryEvent, UpstreamEntry, UpstreamSet, UpstreamTarget};
 use super::relay::RelayPeers;
 use super::reply_body::UnfinishedBodies;
 use super::route::{Route, RouteDocument, RouteTable, SplitPart};
@@ -58,6 +59,14 @@
     pub(crate) silence_found: Notify,
     /// Wakes the task that reports the limits of upstreams to other VMs.
     pub(crate) limit_found: Notify,
+    /// How this VM learns of changes in the store.
+    pub(crate) feed_role: watch::Sender<Arc<FeedRole>>,
+    /// Until when the last answer of another VM makes up for reading the store.
+    pub(crate) covered_until: watch::Sender<Option<Instant>>,
+    /// Counts what may be news for the VMs that learn from this one.
+    pub(crate) feed_changes: watch::Sender<u64>,
+    /// Notified when another VM begins to learn from this one.
+    pub(crate) feed_followed: Notify,
     pub(crate) drain_requested: watch::Sender<bool>,
     /// Set when the VM begins to leave: it is no longer ready, but still serves requests.
     pub(crate) leaving: AtomicBool,
@@ -76,6 +85,7 @@
     links: Mutex<UpstreamLinks>,
     peers: Mutex<RelayPeers>,
     registry: Mutex<Registry>,
+    feed: Mutex<PeerFeed>,
     owners: Mutex<UpstreamOwners>,
     decisions: Mutex<ForwardDecisions>,
     /// When the store last answered a call of each feed.
@@ -107,6 +117,10 @@
             upstreams_needed: Notify::new(),
             silence_found: Notify::new(),
             limit_found: Notify::new(),
+            feed_role: watch::Sender::default(),
+            covered_until: watch::Sender::new(None),
+            feed_changes: watch::Sender::new(0),
+            feed_followed: Notify::new(),
             drain_requested: watch::Sender::new(false),
             leaving: AtomicBool::new(false),
             refuses_requests: AtomicBool::new(false),
@@ -119,6 +133,7 @@
             links: Mutex::new(UpstreamLinks::new()),
             peers: Mutex::default(),
             registry: Mutex::default(),
+            feed: Mutex::default(),
             owners: Mutex::default(),
             decisions: Mutex::new(ForwardDecisions::new(random)),
             feed_answered_at: Mutex::default(),
@@ -195,6 +210,48 @@
         RegistryEvent::write_all(&events, &self.log);
     }
 
+    /// Locks what this VM can tell others of the store.
+    pub(crate) fn feed(&self) -> MutexGuard<'_, PeerFeed> {
+        lock(&self.feed)
+    }
+
+    /// Records whether this VM reads the store itself, which others may rely on.
+    pub(crate) fn set_reads_store(&self, reads_store: bool) {
+        if self.feed().set_reads_store(reads_store) {
+            self.wake_followers();
+        }
+    }
+
+    /// Lets the questions of other VMs be answered anew.
+    pub(crate) fn wake_followers(&self) {
+        self.feed_changes.send_modify(|count| *count += 1);
+    }
+
+    /// Takes a complete list of the upstreams' entries.
+    pub(crate) fn learn_list(
+        &self,
+        entries: Vec<NamedEntry<UpstreamEntry>>,
+        position: StorePosition,
+        now: Instant,
+    ) {
+        self.feed().history.on_list(&entries, position, now);
+        self.update_registry(|registry| registry.on_list(entries, now));
+        self.wake_followers();
+    }
+
+    /// Takes changes of the upstreams' entries that lead to `position`; earlier ones are known.
+    pub(crate) fn learn_changes(
+        &self,
+        changes: Vec<Change<UpstreamEntry>>,
+        position: StorePosition,
+        now: Instant,
+    ) {
+        if self.feed().history.on_changes(&changes, position, now) {
+            self.update_registry(|registry| registry.on_changes(changes, now));
+            self.wake_followers();
+        }
+    }
+
     /// Locks the registry of upstreams.
     pub(crate) fn registry(&self) -> MutexGuard<'_, Registry> {
         lock(&self.registry)
--- a/crates/papayastack/src/forward/store_health.rs
+++ b/crates/papayastack/src/forward/store_health.rs
@@ -3,6 +3,7 @@
 
 use std::time::{Duration, Instant};
 
+use papayastack_macros::value;
 use tokio::sync::{Mutex, watch};
 use tokio::time::{sleep, timeout};
 
@@ -17,6 +18,18 @@
 /// one without changes until its wait is over.
 const WATCH_WAIT_UNSETTLED: Duration = Duration::from_secs(1);
 
+/// What a VM's calls show of the store.
+#[value]
+#[derive(Copy)]
+pub(crate) struct StoreSigns {
+    /// The time since the store last answered a call.
+    pub(crate) silent: Duration,
+    /// The time since a call last failed.
+    pub(crate) failed: Option<Duration>,
+    /// Whether no call was answered since then.
+    pub(crate) is_failing: bool,
+}
+
 /// When the store answered and failed last. Lets one of several feeds test whether it answers again
 /// while the others wait, because the platform charges for every call, including refused ones.
 #[derive(Debug)]
@@ -83,6 +96,17 @@
         let _ = failed_at.wait_for(|at| at.is_some_and(|at| at > started_at)).await;
     }
 
+    /// Returns what the calls of all feeds show of the store.
+    pub(crate) fn signs(&self, now: Instant) -> StoreSigns {
+        let (answered_at, failed_at) = (*self.answered_at.borrow(), *self.failed_at.borrow());
+        let since = |at: Instant| now.saturating_duration_since(at);
+        StoreSigns {
+            silent: answered_at.map_or(Duration::MAX, since),
+            failed: failed_at.map(since),
+            is_failing: failed_at.is_some() && failed_at >= answered_at,
+        }
+    }
+
     /// Returns when the store will have answered nothing for `period`, counted from `now` if it has
     /// answered nothing yet.
     pub(crate) fn silent_at(&self, period: Duration, now: Instant) -> Instant {
--- a/crates/papayastack/src/forward/tests/fleet_feeds.rs
+++ b/crates/papayastack/src/forward/tests/fleet_feeds.rs
@@ -17,6 +17,8 @@
 use super::registry::{entry, named};
 use super::routes::{document, route};
 use crate::forward::feeds::spawn_feeds;
+use crate::forward::following::{FeedPeers, answer, follow_readers};
+use crate::forward::peer_feed::{FeedAnswer, FeedQuestion};
 use crate::forward::state::ForwardState;
 use crate::forward::{
     Change, Changes, FeedStore, Freshness, Listing, RouteDocument, StorePosition, StoreRevision,
@@ -295,6 +297,35 @@
     }
 }
 
+/// The ways between the VMs.
+struct Peers {
+    states: Mutex<Vec<Arc<ForwardState>>>,
+    /// The VMs that answer nothing, as when they are frozen or cut off from the others.
+    silent: Mutex<BTreeSet<VmAddress>>,
+}
+
+/// The other VMs as one VM reaches them.
+struct VmPeers {
+    peers: Arc<Peers>,
+    vm: usize,
+}
+
+#[async_trait]
+impl FeedPeers for VmPeers {
+    async fn ask(&self, reader: VmAddress, question: FeedQuestion) -> Option<FeedAnswer> {
+        let is_silent = |vm: &VmAddress| lock(&self.peers.silent).contains(vm);
+        sleep(Duration::from_millis(2)).await;
+        if !is_silent(&reader) && !is_silent(&address(self.vm)) {
+            let state = Arc::clone(&lock(&self.peers.states)[number_of(reader)]);
+            let answered = answer(&state, question).await;
+            if !is_silent(&reader) {
+                return Some(answered);
+            }
+        }
+        std::future::pending().await
+    }
+}
+
 /// One running VM.
 struct Vm {
     state: Arc<ForwardState>,
@@ -304,6 +335,7 @@
 /// The VMs of one region, and the store that they learn from.
 struct Fleet {
     store: Arc<Store>,
+    peers: Arc<Peers>,
     members: watch::Sender<Arc<MemberView>>,
     vms: Vec<Vm>,
 }
@@ -318,6 +350,13 @@
     ([10, 0, (vm / 200) as u8, (vm % 200) as u8], 7_101).into()
 }
 
+fn number_of(vm: VmAddress) -> usize {
+    match vm.ip() {
+        std::net::IpAddr::V4(ip) => usize::from(ip.octets()[2]) * 200 + usize::from(ip.octets()[3]),
+        std::net::IpAddr::V6(_) => unreachable!("VMs of the tests have IPv4 addresses"),
+    }
+}
+
 fn view(vms: impl Iterator<Item = usize>) -> Arc<MemberView> {
     let member = |vm: usize| Member {
         identity: VmIdentity { address: address(vm), incarnation: 1 },
@@ -335,10 +374,12 @@
     fn start(vms: usize) -> Self {
         let store = Store::open(vms);
         let (members, receiver) = watch::channel(view(0..vms));
-        let mut fleet = Self { store, members, vms: Vec::new() };
+        let peers = Arc::new(Peers { states: Mutex::default(), silent: Mutex::default() });
+        let mut fleet = Self { store, peers, members, vms: Vec::new() };
         for vm in 0..vms {
             let state = state_of(&DATA_CENTRES, vm, receiver.clone());
             state.link_address.set(address(vm)).expect("nothing else sets it");
+            lock(&fleet.peers.states).push(Arc::clone(&state));
             fleet.vms.push(Vm { state, tasks: Vec::new() });
         }
         for vm in 0..vms {
@@ -350,7 +391,11 @@
     fn start_vm(&mut self, vm: usize) {
         let store = Arc::new(VmStore { store: Arc::clone(&self.store), vm });
         let state = Arc::clone(&self.vms[vm].state);
-        self.vms[vm].tasks = spawn_feeds(&state, store, address(vm));
+        let peers = Arc::new(VmPeers { peers: Arc::clone(&self.peers), vm });
+        state.update_feed_role(&self.members.borrow());
+        let mut tasks = spawn_feeds(&state, store, address(vm));
+        tasks.push(tokio::spawn(follow_readers(state, peers)));
+        self.vms[vm].tasks = tasks;
     }
 
     /// Tells whether a VM uses an upstream.
--- a/crates/papayastack/src/observe/decisions.rs
+++ b/crates/papayastack/src/observe/decisions.rs
@@ -66,6 +66,10 @@
     StoreRegained,
     /// A feed reads everything from the store again instead of only the changes.
     FeedRelisted,
+    /// Another VM reads the store for this one from now on.
+    FeedFollowed,
+    /// No other VM reads the store for this one any more.
+    FeedUnfollowed,
     /// The set of live VMs or of reachable regions, as this VM sees it, has changed.
     MembersChanged,
     /// A request got a complete answer within its latency goal.
@@ -84,7 +88,7 @@
 
 impl DecisionEvent {
     /// All kinds.
-    pub const ALL: [Self; 26] = [
+    pub const ALL: [Self; 28] = [
         Self::Started,
         Self::Stopping,
         Self::Stopped,
@@ -104,6 +108,8 @@
         Self::StoreLost,
         Self::StoreRegained,
         Self::FeedRelisted,
+        Self::FeedFollowed,
+        Self::FeedUnfollowed,
         Self::MembersChanged,
         Self::RequestServed,
         Self::RequestLate,
--- a/crates/papayastack/src/routing/mod.rs
+++ b/crates/papayastack/src/routing/mod.rs
@@ -4,6 +4,7 @@
 mod connections;
 mod directory;
 mod owners;
+mod readers;
 mod rendezvous;
 #[cfg(test)]
 mod tests;
@@ -13,4 +14,5 @@
     Directory, DirectoryResolver, ResolvedUpstream, ResolvedUpstreams, ShardReplicas, UpstreamIndex,
 };
 pub use owners::{DataCentreIndex, OWNERS_KEPT, OwnerTable, Owners, OwnersKey};
+pub(crate) use readers::readers_first;
 pub use rendezvous::{direct_share, owner_order};
