Tell followers what changed in the routes; find a reader also in a calm store

Causes: each follower got the whole document of the routes; open questions were not woken by new routes; a reader answered only from the revision of the question on, which other kinds of objects raise; replies named no question. Change: differences of the routes, checked by the reader against the whole; followers are woken; a reader answers from what its watch shows, and a VM whose list is older than the readers' asks the store once for its present position; questions have numbers. Readers of the own data centre are preferred.

--- a/crates/papayastack-daemon/tests/gateway/main.rs
+++ b/crates/papayastack-daemon/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod limits;
 mod lost_links;
+mod readers;
 mod soak;
 mod support;
 mod through_owner;
--- a/crates/papayastack-daemon/tests/gateway/support.rs
+++ b/crates/papayastack-daemon/tests/gateway/support.rs
@@ -161,6 +161,17 @@
     Some(format!("{} {body}", head.split(' ').nth(1)?))
 }
 
+/// Sends one request for a path; returns the status, `None` if there is no answer.
+pub(crate) async fn status_of(address: SocketAddr, path: &str) -> Option<u16> {
+    let names = PlatformIngress::new();
+    let id = &names.headers().request_id;
+    let text = format!(
+        "GET {path} HTTP/1.1\r\nhost: a.example\r\n{id}: the-id\r\nconnection: close\r\n\r\n"
+    );
+    let answer = exchange(address, &text).await?;
+    answer.split(' ').nth(1)?.parse().ok()
+}
+
 /// Sends a request that closes its connection; returns the whole answer.
 async fn exchange(address: SocketAddr, request: &str) -> Option<String> {
     let mut stream = TcpStream::connect(address).await.ok()?;
--- a/crates/papayastack/src/forward/feeds.rs
+++ b/crates/papayastack/src/forward/feeds.rs
@@ -189,10 +189,13 @@
     availability: &mut StoreAvailability,
 ) -> RelistReason {
     let mut eras = store.eras();
+    // A watch that does not wait tells the store's present position, from which readers know all.
+    let mut catches_up = false;
     let needed = state.upstreams_needed.notified();
     tokio::select! {
         () = wait_for_cover(state) => {}
         () = needed => {}
+        () = state.feed_gone.notified() => catches_up = true,
     }
     loop {
         gather_changes(state, pace).await;
@@ -208,7 +211,11 @@
         };
         // Another VM may have told of later changes.
         let after = state.feed().history.position().unwrap_or(listed).revision;
-        let (started, wait) = (now(), state.store_health.watch_wait(now()));
+        let started = now();
+        let wait = match std::mem::take(&mut catches_up) {
+            true => Duration::ZERO,
+            false => state.store_health.watch_wait(started),
+        };
         let outcome = tokio::select! {
             outcome = store.watch_upstreams(after, wait) => outcome,
             () = state.store_health.watch_is_doubtful(started, wait) => continue,
@@ -436,7 +443,9 @@
     let routes = document.routes.len();
     let table = Arc::new(RouteTable::new(document));
     state.decisions().retain_routes(&table);
-    state.routes.send_replace(Some(table));
+    state.routes.send_replace(Some(Arc::clone(&table)));
+    state.feed().record_routes(table);
+    state.wake_followers();
     state.log.write(DecisionEvent::RoutesInForce, || {
         json!({
             "version": version,
--- a/crates/papayastack/src/forward/following.rs
+++ b/crates/papayastack/src/forward/following.rs
@@ -18,7 +18,7 @@
 use super::feeds::{RoutesSource, apply_routes, now};
 use super::interface::{Change, NamedEntry};
 use super::peer_feed::{
-    AnswerSoFar, FeedAnswer, FeedChanges, FeedQuestion, FeedRole, QUESTION_WAIT,
+    AnswerSoFar, FeedAnswer, FeedChanges, FeedQuestion, FeedReply, FeedRole, QUESTION_WAIT,
 };
 use super::relay::CONNECTIONS_PER_PEER;
 use super::state::ForwardState;
@@ -43,8 +43,8 @@
 /// How questions reach other VMs.
 #[async_trait]
 pub(crate) trait FeedPeers: Send + Sync + 'static {
-    /// Returns the answer of a VM, `None` if it gives none.
-    async fn ask(&self, reader: VmAddress, question: FeedQuestion) -> Option<FeedAnswer>;
+    /// Returns the reply of a VM, `None` if it gives none.
+    async fn ask(&self, reader: VmAddress, question: FeedQuestion) -> Option<FeedReply>;
 }
 
 /// Questions by HTTP, at the address for other VMs.
@@ -52,7 +52,7 @@
 
 #[async_trait]
 impl FeedPeers for HttpFeedPeers {
-    async fn ask(&self, reader: VmAddress, question: FeedQuestion) -> Option<FeedAnswer> {
+    async fn ask(&self, reader: VmAddress, question: FeedQuestion) -> Option<FeedReply> {
         let request = axum::http::Request::post("/")
             .header(header::HOST, QUESTION_HOST)
             .header(QUESTION_HEADER, HeaderValue::from_static("1"))
@@ -75,15 +75,19 @@
     let mut response = Response::default();
     match question {
         Some(question) => {
-            *response.body_mut() = Body::from(cbor::encode(&answer(state, question).await));
+            *response.body_mut() = Body::from(cbor::encode(&reply(state, question).await));
         }
         None => *response.status_mut() = StatusCode::BAD_REQUEST,
     }
     response
 }
 
-/// Returns the answer to a question once there is news for it, at the latest when its wait is over.
-pub(crate) async fn answer(state: &ForwardState, question: FeedQuestion) -> FeedAnswer {
+/// Returns the reply to a question once there is news for it, at the latest when its wait is over.
+pub(crate) async fn reply(state: &ForwardState, question: FeedQuestion) -> FeedReply {
+    FeedReply { number: question.number, answer: answer(state, question).await }
+}
+
+async fn answer(state: &ForwardState, question: FeedQuestion) -> FeedAnswer {
     let wait = Duration::from_millis(question.wait_ms).min(QUESTION_WAIT);
     let until = tokio::time::Instant::now() + wait;
     let mut changes = state.feed_changes.subscribe();
@@ -109,12 +113,11 @@
         return AnswerSoFar::Ready(FeedAnswer::NotReading);
     }
     let now = now();
-    let table = state.routes.borrow().clone();
     let mut feed = state.feed();
     if feed.record_question(now) {
         state.feed_followed.notify_one();
     }
-    feed.answer(question, state.store_health.signs(now), table.as_ref().map(|t| t.document()))
+    feed.answer(question, state.store_health.signs(now))
 }
 
 /// Asks the readers of the store what has changed, while this VM is none of them.
@@ -135,12 +138,14 @@
             continue;
         };
         let asked = timeout(QUESTION_WAIT + ANSWER_TIMEOUT, peers.ask(reader, question)).await;
-        let learnt = match asked.ok().flatten() {
-            Some(FeedAnswer::Changes(changes)) => apply(&state, changes),
+        let reply = asked.ok().flatten().filter(|reply| reply.number == question.number);
+        let learnt = match reply.map(|reply| reply.answer) {
+            Some(FeedAnswer::Changes(changes)) => apply(&state, *changes),
             // Only the store itself shows what came before, or which entries are new in its era.
             Some(FeedAnswer::Gone) => {
                 stop_following(&state, &mut follows);
                 state.covered_until.send_replace(None);
+                state.feed_gone.notify_one();
                 sleep(ASK_AGAIN_PAUSE).await;
                 continue;
             }
@@ -170,6 +175,7 @@
     }
     let position = state.feed().history.position()?;
     Some(FeedQuestion {
+        number: rand::rng().random(),
         era: position.era,
         revision: position.revision,
         routes_version: state.routes_version(),
@@ -195,7 +201,13 @@
         upstreams.into_iter().map(|(name, content)| content.into_change(name)).collect();
     state.learn_changes(changes, position, now);
     state.record_feed_answer("upstreams", now);
-    if let Some(document) = routes {
+    if let Some(news) = routes {
+        let table = state.routes.borrow().clone();
+        let Some(document) = news.into_document(table.as_ref().map(|table| table.document()))
+        else {
+            // A later version came meanwhile, from the store.
+            return true;
+        };
         let entry = NamedEntry { name: String::new(), content: Ok(document) };
         apply_routes(state, entry, RoutesSource::Peer, position);
     }
--- a/crates/papayastack/src/forward/mod.rs
+++ b/crates/papayastack/src/forward/mod.rs
@@ -14,6 +14,7 @@
 //! | `ingress` | the HTTP endpoints for callers |
 //! | `response` | the outcome of a request and the HTTP response for it |
 //! | `feeds` | lists and watches of the store: upstreams, routes, other VMs |
+//! | `route_changes` | what one version of the routes changes in another |
 //! | `history` | the entries of upstreams by the revision of their last change |
 //! | `peer_feed` | what VMs tell each other of the store: roles, questions and answers |
 //! | `following` | the task that asks another VM, and the answers to those that ask |
@@ -57,6 +58,7 @@
 mod reply_body;
 mod response;
 mod route;
+mod route_changes;
 mod settings;
 mod silence;
 mod state;
--- a/crates/papayastack/src/forward/pace.rs
+++ b/crates/papayastack/src/forward/pace.rs
@@ -13,7 +13,7 @@
 /// The longest pause after failed calls while this VM cannot serve requests without the store.
 const BACKOFF_NOT_READY_MAX: Duration = Duration::from_millis(300);
 /// The watches that may follow each other without a pause after a time without changes.
-const WATCH_BURST: f64 = 4.0;
+const WATCH_BURST: f64 = 8.0;
 
 /// Exponential back-off with jitter after failed calls.
 pub(crate) struct Backoff {
--- a/crates/papayastack/src/forward/peer_feed.rs
+++ b/crates/papayastack/src/forward/peer_feed.rs
@@ -4,14 +4,16 @@
 //! question open at one of them: what has changed since a position. An answer counts for as long as
 //! a watch of the VM's own would be trusted at most; a VM without one asks the store itself.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use papayastack_macros::{message, value};
 
 use super::history::{EntryContent, UpstreamHistory};
 use super::interface::{StorePosition, StoreRevision};
-use super::route::RouteDocument;
+use super::route::RouteTable;
+use super::route_changes::RoutesNews;
 use super::store_health::StoreSigns;
 use crate::ids::{DataCentreName, UpstreamId, VmAddress};
 use crate::membership::MemberView;
@@ -32,6 +34,8 @@
 pub(crate) const QUESTION_WAIT: Duration = Duration::from_millis(700);
 /// The longest time for which the store may have answered nothing to a VM that answers questions.
 const STORE_SILENCE_MAX: Duration = Duration::from_millis(1_000);
+/// The versions of the routes that are kept to tell others what has changed since.
+const ROUTES_KEPT: usize = 3;
 /// How long after a question a VM counts as followed.
 const FOLLOWED_FOR: Duration = Duration::from_secs(3);
 
@@ -68,9 +72,12 @@
         let readers = (ranked.len() / VMS_PER_READER).max(READERS_MIN).min(ranked.len());
         if rank >= readers {
             let mut readers = ranked[..readers].to_vec();
-            // Spreads the other VMs evenly over the readers.
+            // Spreads the other VMs evenly over the readers, apart from those of a data centre that
+            // has one: bytes between data centres are dear.
             let preferred = rank % readers.len();
             readers.rotate_left(preferred);
+            let data_centre = |vm: &VmAddress| view.members.get(vm).map(|vm| &vm.data_centre);
+            readers.sort_by_key(|reader| data_centre(reader) != data_centre(&ranked[rank]));
             return Self { readers, ..Self::default() };
         }
         // All readers together make no more calls than if every VM read for itself.
@@ -87,17 +94,28 @@
 #[message]
 #[derive(Copy)]
 pub(crate) struct FeedQuestion {
+    /// Differs from question to question, so that a late copy of an earlier reply is not taken for
+    /// the reply to this one.
+    pub(crate) number: u64,
     pub(crate) era: StoreEra,
     pub(crate) revision: StoreRevision,
     pub(crate) routes_version: u64,
     pub(crate) wait_ms: u64,
 }
 
+/// The reply to a [`FeedQuestion`].
+#[message]
+pub(crate) struct FeedReply {
+    /// The number of the question.
+    pub(crate) number: u64,
+    pub(crate) answer: FeedAnswer,
+}
+
 /// The answer to a [`FeedQuestion`].
 #[message]
 pub(crate) enum FeedAnswer {
     /// What has changed.
-    Changes(FeedChanges),
+    Changes(Box<FeedChanges>),
     /// The changes since the position are not known, or the store is back from an older copy.
     Gone,
     /// The VM does not read the store at present, or gets no answer from it.
@@ -110,7 +128,7 @@
     pub(crate) position: StorePosition,
     pub(crate) upstreams: BTreeMap<UpstreamId, EntryContent>,
     /// The routes, if they are later than those of the question.
-    pub(crate) routes: Option<RouteDocument>,
+    pub(crate) routes: Option<RoutesNews>,
     /// The time since a call of the answering VM to the store failed.
     pub(crate) store_failed_ms: Option<u64>,
 }
@@ -130,6 +148,8 @@
     pub(crate) history: UpstreamHistory,
     /// Whether this VM reads the store itself.
     reads_store: bool,
+    /// The versions of the routes that were in force, the newest one last.
+    routes: VecDeque<Arc<RouteTable>>,
     questioned_at: Option<Instant>,
 }
 
@@ -139,6 +159,14 @@
         std::mem::replace(&mut self.reads_store, reads_store) != reads_store
     }
 
+    /// Records a version of the routes that is in force from now on.
+    pub(crate) fn record_routes(&mut self, table: Arc<RouteTable>) {
+        self.routes.push_back(table);
+        while self.routes.len() > ROUTES_KEPT {
+            self.routes.pop_front();
+        }
+    }
+
     /// Records a question; returns whether this VM was not followed before.
     pub(crate) fn record_question(&mut self, now: Instant) -> bool {
         let was_followed = self.is_followed(now);
@@ -151,13 +179,10 @@
         self.questioned_at.is_some_and(|at| now.saturating_duration_since(at) < FOLLOWED_FOR)
     }
 
-    /// Answers a question by what is known now.
-    pub(crate) fn answer(
-        &self,
-        question: &FeedQuestion,
-        signs: StoreSigns,
-        routes: Option<&RouteDocument>,
-    ) -> AnswerSoFar {
+    /// Answers a question by what is known now. The position of the question may be later than the
+    /// one of this VM: other kinds of objects raise the store's revision too, and a watch without
+    /// changes tells no revision.
+    pub(crate) fn answer(&self, question: &FeedQuestion, signs: StoreSigns) -> AnswerSoFar {
         let not_reading = || FeedAnswer::NotReading;
         let Some(position) = self.history.position() else {
             return AnswerSoFar::Ready(not_reading());
@@ -168,18 +193,25 @@
         if position.era > question.era {
             return AnswerSoFar::Ready(FeedAnswer::Gone);
         }
-        // The store is asked for a sign meanwhile, and the watch delivers what the other VM knows.
-        if signs.silent > STORE_SILENCE_MAX || position.revision < question.revision {
+        // The store is asked for a sign meanwhile.
+        if signs.silent > STORE_SILENCE_MAX {
             return AnswerSoFar::Waiting(not_reading());
         }
         let Some(upstreams) = self.history.since(question.revision) else {
             return AnswerSoFar::Ready(FeedAnswer::Gone);
         };
-        let routes = routes.filter(|routes| routes.version > question.routes_version).cloned();
+        let routes = self.routes_after(question.routes_version);
         let is_news = !upstreams.is_empty() || routes.is_some();
         let store_failed_ms = signs.failed.map(|ago| ago.as_millis() as u64);
-        let answer =
-            FeedAnswer::Changes(FeedChanges { position, upstreams, routes, store_failed_ms });
+        let changes = FeedChanges { position, upstreams, routes, store_failed_ms };
+        let answer = FeedAnswer::Changes(Box::new(changes));
         if is_news { AnswerSoFar::Ready(answer) } else { AnswerSoFar::Waiting(answer) }
     }
+
+    fn routes_after(&self, version: u64) -> Option<RoutesNews> {
+        let newest = self.routes.back()?.document();
+        let base = self.routes.iter().find(|table| table.document().version == version);
+        (newest.version > version)
+            .then(|| RoutesNews::describe(newest, base.map(|base| base.document())))
+    }
 }
--- a/crates/papayastack/src/forward/state.rs
+++ b/crates/papayastack/src/forward/state.rs
@@ -67,6 +67,8 @@
     pub(crate) feed_changes: watch::Sender<u64>,
     /// Notified when another VM begins to learn from this one.
     pub(crate) feed_followed: Notify,
+    /// Notified when a reader does not know all changes since this VM's position.
+    pub(crate) feed_gone: Notify,
     pub(crate) drain_requested: watch::Sender<bool>,
     /// Set when the VM begins to leave: it is no longer ready, but still serves requests.
     pub(crate) leaving: AtomicBool,
@@ -121,6 +123,7 @@
             covered_until: watch::Sender::new(None),
             feed_changes: watch::Sender::new(0),
             feed_followed: Notify::new(),
+            feed_gone: Notify::new(),
             drain_requested: watch::Sender::new(false),
             leaving: AtomicBool::new(false),
             refuses_requests: AtomicBool::new(false),
