Follow readers while leaving; ask a reader again soon that had no answer for a moment

Causes: a reader was passed over for 2 s also when it had said at once that it has no answer; any VM could make eight watches in a row; a VM that leaves was given no reader. A version of the routes that is put into another order was told as a whole. Change: 0.3 s for a reader that says so, 2 s for a silent one; only readers watch without a pause; leaving VMs follow readers; the routes are told as pieces kept of the earlier version and new ones. The model and the tests of feeds, outages and configuration pass.

--- a/crates/papayastack/src/forward/feeds.rs
+++ b/crates/papayastack/src/forward/feeds.rs
@@ -13,7 +13,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::interface::{Change, FeedStore, Freshness, NamedEntry, StorePosition};
-use super::pace::{Backoff, WatchPace};
+use super::pace::{Backoff, WATCH_BURST_FOR_OTHERS, WatchPace};
 use super::route::{RouteDocument, RouteTable};
 use super::state::ForwardState;
 use crate::ids::{RegionName, VmAddress};
@@ -254,7 +254,9 @@
         return;
     }
     let needed = state.upstreams_needed.notified();
-    let pause = pace.take(state.feed_role.borrow().watch_interval, now());
+    let role = state.feed_role.borrow().clone();
+    let burst = if role.reads_for_others { WATCH_BURST_FOR_OTHERS } else { 1 };
+    let pause = pace.take(role.watch_interval, burst, now());
     sleep(pause.min(UPSTREAMS_WATCH_PAUSE_SHORT)).await;
     // Ends early if a request found a service without upstreams.
     let _ = timeout(pause.saturating_sub(UPSTREAMS_WATCH_PAUSE_SHORT), needed).await;
--- a/crates/papayastack/src/forward/following.rs
+++ b/crates/papayastack/src/forward/following.rs
@@ -35,8 +35,10 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
 /// How long after an answer a VM needs no watch of its own; the next answer comes well before.
 const COVERED_FOR: Duration = Duration::from_millis(1_200);
-/// How long a reader that gave no answer is passed over.
-const READER_TROUBLED_HOLD: Duration = Duration::from_secs(2);
+/// How long a reader that gave no reply is passed over.
+const READER_SILENT_HOLD: Duration = Duration::from_secs(2);
+/// How long a reader is passed over that said that it has no answer from the store.
+const READER_NOT_READING_HOLD: Duration = Duration::from_millis(300);
 /// The pause while no reader can be asked, or none knows enough.
 const ASK_AGAIN_PAUSE: Duration = Duration::from_millis(500);
 
@@ -139,8 +141,15 @@
         };
         let asked = timeout(QUESTION_WAIT + ANSWER_TIMEOUT, peers.ask(reader, question)).await;
         let reply = asked.ok().flatten().filter(|reply| reply.number == question.number);
-        let learnt = match reply.map(|reply| reply.answer) {
-            Some(FeedAnswer::Changes(changes)) => apply(&state, *changes),
+        let hold = match reply.map(|reply| reply.answer) {
+            Some(FeedAnswer::Changes(changes)) if changes.position.era == question.era => {
+                apply(&state, *changes);
+                state.covered_until.send_replace(Some(now() + COVERED_FOR));
+                if follows.replace(reader) != Some(reader) {
+                    state.log.write(DecisionEvent::FeedFollowed, || json!({ "reader": reader }));
+                }
+                continue;
+            }
             // Only the store itself shows what came before, or which entries are new in its era.
             Some(FeedAnswer::Gone) => {
                 stop_following(&state, &mut follows);
@@ -149,16 +158,10 @@
                 sleep(ASK_AGAIN_PAUSE).await;
                 continue;
             }
-            Some(FeedAnswer::NotReading) | None => false,
+            Some(FeedAnswer::NotReading | FeedAnswer::Changes(_)) => READER_NOT_READING_HOLD,
+            None => READER_SILENT_HOLD,
         };
-        if learnt {
-            state.covered_until.send_replace(Some(now() + COVERED_FOR));
-            if follows.replace(reader) != Some(reader) {
-                state.log.write(DecisionEvent::FeedFollowed, || json!({ "reader": reader }));
-            }
-        } else {
-            troubled_until.insert(reader, now() + READER_TROUBLED_HOLD);
-        }
+        troubled_until.insert(reader, now() + hold);
     }
 }
 
@@ -183,13 +186,9 @@
     })
 }
 
-/// Takes the changes of an answer; returns whether they belong to the era that this VM knows.
-fn apply(state: &ForwardState, changes: FeedChanges) -> bool {
+/// Takes the changes of an answer.
+fn apply(state: &ForwardState, changes: FeedChanges) {
     let FeedChanges { position, upstreams, routes, store_failed_ms } = changes;
-    let known = state.feed().history.position();
-    if known.is_none_or(|known| known.era != position.era) {
-        return false;
-    }
     let now = now();
     if let Some(failed_at) =
         store_failed_ms.and_then(|ms| now.checked_sub(Duration::from_millis(ms)))
@@ -206,13 +205,12 @@
         let Some(document) = news.into_document(table.as_ref().map(|table| table.document()))
         else {
             // A later version came meanwhile, from the store.
-            return true;
+            return;
         };
         let entry = NamedEntry { name: String::new(), content: Ok(document) };
         apply_routes(state, entry, RoutesSource::Peer, position);
     }
     state.record_feed_answer("routes", now);
-    true
 }
 
 impl ForwardState {
--- a/crates/papayastack/src/forward/pace.rs
+++ b/crates/papayastack/src/forward/pace.rs
@@ -12,8 +12,9 @@
 const BACKOFF_MAX: Duration = Duration::from_millis(1_200);
 /// The longest pause after failed calls while this VM cannot serve requests without the store.
 const BACKOFF_NOT_READY_MAX: Duration = Duration::from_millis(300);
-/// The watches that may follow each other without a pause after a time without changes.
-const WATCH_BURST: f64 = 8.0;
+/// The watches that may follow each other without a pause after a time without changes, at a VM that
+/// reads the store for others.
+pub(crate) const WATCH_BURST_FOR_OTHERS: u32 = 8;
 
 /// Exponential back-off with jitter after failed calls.
 pub(crate) struct Backoff {
@@ -58,12 +59,12 @@
         Self { credits: 1.0, updated_at: now }
     }
 
-    /// Takes the credit for one watch, one of which is earned each `interval`; returns how long the
-    /// watch has to wait for it.
-    pub(crate) fn take(&mut self, interval: Duration, now: Instant) -> Duration {
+    /// Takes the credit for one watch, one of which is earned each `interval` and `burst` may be saved;
+    /// returns how long the watch has to wait for it.
+    pub(crate) fn take(&mut self, interval: Duration, burst: u32, now: Instant) -> Duration {
         let elapsed = now.saturating_duration_since(self.updated_at);
         let earned = elapsed.as_secs_f64() / interval.as_secs_f64();
-        self.credits = (self.credits + earned).min(WATCH_BURST) - 1.0;
+        self.credits = (self.credits + earned).min(f64::from(burst)) - 1.0;
         self.updated_at = now;
         interval.mul_f64((-self.credits).max(0.0))
     }
--- a/crates/papayastack/src/forward/peer_feed.rs
+++ b/crates/papayastack/src/forward/peer_feed.rs
@@ -63,12 +63,12 @@
         view: &MemberView,
         data_centres: &BTreeMap<DataCentreName, DataCentreSettings>,
     ) -> Self {
-        let ranked = own.and_then(|own| {
-            let ranked = readers_first(own, view, Some(data_centres))?;
-            let rank = ranked.iter().position(|vm| *vm == own)?;
-            Some((ranked, rank))
-        });
-        let Some((ranked, rank)) = ranked else { return Self::default() };
+        let ranked = own.and_then(|own| Some((own, readers_first(own, view, Some(data_centres))?)));
+        let Some((own, ranked)) = ranked.filter(|(_, ranked)| !ranked.is_empty()) else {
+            return Self::default();
+        };
+        // A VM that leaves reads for nobody.
+        let rank = ranked.iter().position(|vm| *vm == own).unwrap_or(ranked.len());
         let readers = (ranked.len() / VMS_PER_READER).max(READERS_MIN).min(ranked.len());
         if rank >= readers {
             let mut readers = ranked[..readers].to_vec();
@@ -77,7 +77,7 @@
             let preferred = rank % readers.len();
             readers.rotate_left(preferred);
             let data_centre = |vm: &VmAddress| view.members.get(vm).map(|vm| &vm.data_centre);
-            readers.sort_by_key(|reader| data_centre(reader) != data_centre(&ranked[rank]));
+            readers.sort_by_key(|reader| data_centre(reader) != data_centre(&own));
             return Self { readers, ..Self::default() };
         }
         // All readers together make no more calls than if every VM read for itself.
--- a/crates/papayastack/src/forward/route_changes.rs
+++ b/crates/papayastack/src/forward/route_changes.rs
@@ -19,13 +19,9 @@
 impl RoutesNews {
     /// Describes `later` to a VM that has `base`, if that is known here.
     pub(crate) fn describe(later: &RouteDocument, base: Option<&RouteDocument>) -> Self {
-        let changes = base.map(|base| (RouteChanges::between(base, later), base));
-        match changes {
-            // The order of the routes may have changed too, which changes do not tell.
-            Some((changes, base)) if changes.applied_to(base).as_ref() == Some(later) => {
-                Self::Changes(changes)
-            }
-            Some(_) | None => Self::Whole(later.clone()),
+        match base {
+            Some(base) => Self::Changes(RouteChanges::between(base, later)),
+            None => Self::Whole(later.clone()),
         }
     }
 
@@ -33,7 +29,7 @@
     pub(crate) fn into_document(self, base: Option<&RouteDocument>) -> Option<RouteDocument> {
         match self {
             Self::Whole(document) => Some(document),
-            Self::Changes(changes) => changes.applied_to(base?),
+            Self::Changes(changes) => changes.apply_to(base?),
         }
     }
 }
@@ -43,61 +39,72 @@
 pub(crate) struct RouteChanges {
     base_version: u64,
     version: u64,
-    /// The routes that are new or differ.
-    routes: Vec<Route>,
-    routes_removed: BTreeSet<String>,
+    /// The later routes, in their order.
+    routes: Vec<RoutePiece>,
     /// The services that are new or differ.
     services: BTreeMap<ServiceName, ServiceEntry>,
     services_removed: BTreeSet<ServiceName>,
     limits: CallerLimits,
 }
 
+/// A part of the later routes.
+#[message]
+enum RoutePiece {
+    /// Routes of the base, from a position on.
+    Kept { from: usize, count: usize },
+    /// A route that is new or differs.
+    New(Route),
+}
+
 impl RouteChanges {
     fn between(base: &RouteDocument, later: &RouteDocument) -> Self {
-        let before: BTreeMap<&str, &Route> =
-            base.routes.iter().map(|route| (route.name.as_str(), route)).collect();
-        let after: BTreeSet<&str> = later.routes.iter().map(|route| route.name.as_str()).collect();
-        let is_new = |route: &&Route| before.get(route.name.as_str()) != Some(route);
-        let is_removed = |name: &&&str| !after.contains(**name);
-        let service_is_new =
+        let positions = base.routes.iter().enumerate();
+        let positions: BTreeMap<&str, usize> =
+            positions.map(|(position, route)| (route.name.as_str(), position)).collect();
+        let mut routes = Vec::new();
+        for route in &later.routes {
+            let position = positions.get(route.name.as_str()).copied();
+            match position.filter(|position| base.routes[*position] == *route) {
+                Some(position) => match routes.last_mut() {
+                    Some(RoutePiece::Kept { from, count }) if *from + *count == position => {
+                        *count += 1;
+                    }
+                    _ => routes.push(RoutePiece::Kept { from: position, count: 1 }),
+                },
+                None => routes.push(RoutePiece::New(route.clone())),
+            }
+        }
+        let is_new =
             |(name, entry): &(&ServiceName, &ServiceEntry)| base.services.get(*name) != Some(entry);
-        let service_is_removed = |name: &&ServiceName| !later.services.contains_key(*name);
+        let is_removed = |name: &&ServiceName| !later.services.contains_key(*name);
+        let services = later.services.iter().filter(is_new);
         Self {
             base_version: base.version,
             version: later.version,
-            routes: later.routes.iter().filter(is_new).cloned().collect(),
-            routes_removed: before
-                .keys()
-                .filter(is_removed)
-                .map(|name| (*name).to_owned())
-                .collect(),
-            services: later
-                .services
-                .iter()
-                .filter(service_is_new)
-                .map(|(name, entry)| (name.clone(), *entry))
-                .collect(),
-            services_removed: base.services.keys().filter(service_is_removed).cloned().collect(),
+            routes,
+            services: services.map(|(name, entry)| (name.clone(), *entry)).collect(),
+            services_removed: base.services.keys().filter(is_removed).cloned().collect(),
             limits: later.limits,
         }
     }
 
     /// Returns the later version; `None` if `base` is not the version that the changes are from.
-    fn applied_to(&self, base: &RouteDocument) -> Option<RouteDocument> {
+    fn apply_to(self, base: &RouteDocument) -> Option<RouteDocument> {
         if base.version != self.base_version {
             return None;
         }
-        let mut changed: BTreeMap<&str, &Route> =
-            self.routes.iter().map(|route| (route.name.as_str(), route)).collect();
-        let kept = base.routes.iter().filter(|route| !self.routes_removed.contains(&route.name));
-        let mut routes: Vec<Route> = kept
-            .map(|route| changed.remove(route.name.as_str()).unwrap_or(route).clone())
-            .collect();
-        let added = self.routes.iter().filter(|route| changed.contains_key(route.name.as_str()));
-        routes.extend(added.cloned());
+        let mut routes = Vec::new();
+        for piece in self.routes {
+            match piece {
+                RoutePiece::Kept { from, count } => {
+                    routes.extend_from_slice(base.routes.get(from..from.checked_add(count)?)?);
+                }
+                RoutePiece::New(route) => routes.push(route),
+            }
+        }
         let mut services = base.services.clone();
         services.retain(|name, _| !self.services_removed.contains(name));
-        services.extend(self.services.iter().map(|(name, entry)| (name.clone(), *entry)));
+        services.extend(self.services);
         Some(RouteDocument { version: self.version, routes, services, limits: self.limits })
     }
 }
--- a/crates/papayastack/src/routing/readers.rs
+++ b/crates/papayastack/src/routing/readers.rs
@@ -9,7 +9,7 @@
 use crate::settings::DataCentreSettings;
 
 /// Returns the live VMs of the region of `own_address`, ordered by hash as in rendezvous hashing; the
-/// first ones read the store. Returns `None` if the VM itself is not live.
+/// first ones read the store. A VM that leaves is not among them. Returns `None` if the VM is unknown.
 ///
 /// Without `data_centres` the regions are unknown, and all VMs count as one region.
 pub(crate) fn readers_first(
@@ -21,8 +21,7 @@
         let data_centre = data_centres?.get(&member.data_centre)?;
         Some(data_centre.region.as_str())
     };
-    let own_member = view.live().find(|member| member.identity.address == own_address)?;
-    let region = region_of(own_member);
+    let region = region_of(view.members.get(&own_address)?);
     let in_region = view.live().filter(|member| region_of(member) == region);
     let mut ranked: Vec<(u64, VmAddress)> =
         in_region.map(|member| (score(member.identity.address), member.identity.address)).collect();
