Land a failing test for upstreams that followers hold for good

Cause: at 13.4 s a reader tells that 44 entries are gone, and that its last call to the store failed a moment ago. The VM holds the upstreams for 2.2 s, as it should. But the feed looked for the end of holds before it began to wait while covered, and had no reason to look again as long as the cover lasted. Test: a reader whose calls failed tells of a removed entry. Fails at 4, 24 and 79 VMs. The model's runs with faults now remove an entry too, where before upstreams only said that they leave.

--- a/crates/papayastack/src/forward/tests/fleet_feeds.rs
+++ b/crates/papayastack/src/forward/tests/fleet_feeds.rs
@@ -216,7 +216,11 @@
     let mut late = Vec::new();
     for number in 0..3 {
         sleep(Duration::from_millis(random.random_range(0..1_500))).await;
-        fleet.store.announce_leaving(number);
+        match number {
+            // Some upstreams never say that they leave; their entry is removed.
+            1 => fleet.store.write(Written::Upstream(upstream(number), None)),
+            _ => fleet.store.announce_leaving(number),
+        }
         sleep(APPLY_MAX).await;
         let is_late = |vm: &usize| !out_of_touch.contains(vm) && fleet.uses(*vm, number);
         let late_now = (0..vms).filter(is_late);
@@ -283,6 +287,27 @@
     }
 }
 
+// Guards against an upstream that is used for good, since its entry was removed soon after a reader had
+// no answer from the store, and the VMs that follow the reader hold it.
+#[tokio::test(start_paused = true)]
+async fn an_upstream_removed_after_a_failed_call_of_a_reader_is_dropped_by_its_followers() {
+    for vms in [4, 24, 79] {
+        let fleet = Fleet::start(vms);
+        sleep(Duration::from_secs(6)).await;
+        let readers = fleet.readers();
+        fleet.store.set_access(readers.iter().copied(), Access::Silent);
+        sleep(Duration::from_secs(4)).await;
+        fleet.store.set_access(readers.iter().copied(), Access::Sound);
+        sleep(Duration::from_secs(1)).await;
+
+        fleet.store.write(Written::Upstream(upstream(3), None));
+        sleep(APPLY_MAX).await;
+
+        let users = (0..vms).filter(|vm| fleet.uses(*vm, 3)).count();
+        assert_eq!(users, 0, "of {vms} VMs");
+    }
+}
+
 // Answers the pattern of a fleet that asks the store all at once when its readers are gone.
 #[tokio::test(start_paused = true)]
 async fn vms_whose_readers_are_gone_do_not_all_ask_the_store_at_once() {
