Drop held upstreams when their hold ends, whoever told that they are gone

Change: a task of its own ends the holds and looks again with everything that is learnt, from the store or from a reader; a watch that is open no longer has to be made anew for it.

--- a/crates/papayastack/src/forward/feeds.rs
+++ b/crates/papayastack/src/forward/feeds.rs
@@ -144,10 +144,30 @@
     ]
 }
 
-/// Lists and watches the upstreams until the task is aborted.
+/// Follows the upstreams until the task is aborted, and drops those whose hold ends.
 pub(crate) async fn follow_upstreams(state: Arc<ForwardState>, store: Arc<dyn FeedStore>) {
+    tokio::join!(read_upstreams(&state, store), drop_held_upstreams(&state));
+}
+
+/// Drops each held upstream when its hold ends, whoever told that its entry is missing.
+async fn drop_held_upstreams(state: &ForwardState) {
+    let mut changes = state.feed_changes.subscribe();
+    loop {
+        changes.borrow_and_update();
+        let next_wake = state.registry().next_wake();
+        tokio::select! {
+            () = sleep_until_some(next_wake) => {
+                state.update_registry(|registry| registry.on_tick(now()));
+            }
+            _ = changes.changed() => {}
+        }
+    }
+}
+
+/// Lists the upstreams, and watches them or lets other VMs do so.
+async fn read_upstreams(state: &Arc<ForwardState>, store: Arc<dyn FeedStore>) {
     let mut backoff = Backoff::new();
-    let mut availability = StoreAvailability::new(&state, "upstreams");
+    let mut availability = StoreAvailability::new(state, "upstreams");
     // The first list may lag, since the watch after it delivers what it lacks. Later lists replace
     // a history of changes that the store no longer has, so they must be current.
     let mut freshness = Freshness::MayLag;
@@ -173,7 +193,7 @@
             }
         };
         let reason =
-            watch_upstreams(&state, &*store, listed, &mut pace, &mut backoff, &mut availability)
+            watch_upstreams(state, &*store, listed, &mut pace, &mut backoff, &mut availability)
                 .await;
         availability.relisting(reason);
     }
@@ -205,10 +225,7 @@
         }
         state.update_registry(|registry| registry.on_tick(now()));
         state.set_reads_store(true);
-        let (next_wake, recheck_at) = {
-            let registry = state.registry();
-            (registry.next_wake(), registry.recheck_at())
-        };
+        let recheck_at = state.registry().recheck_at();
         // Another VM may have told of later changes.
         let after = state.feed().history.position().unwrap_or(listed).revision;
         let started = now();
@@ -219,10 +236,6 @@
         let outcome = tokio::select! {
             outcome = store.watch_upstreams(after, wait) => outcome,
             () = state.store_health.watch_is_doubtful(started, wait) => continue,
-            () = sleep_until_some(next_wake) => {
-                state.update_registry(|registry| registry.on_tick(now()));
-                continue;
-            }
             () = wait_for_later_era(&mut eras, listed.era) => return RelistReason::StoreReset,
             () = sleep_until_some(recheck_at) => return RelistReason::OlderEntries,
         };
@@ -274,21 +287,14 @@
     }
 }
 
-/// Returns once this VM has to read the store itself; drops upstreams whose hold ends meanwhile.
+/// Returns once this VM has to read the store itself.
 async fn wait_while_covered(state: &ForwardState) {
     while state.is_covered(now()) {
         state.set_reads_store(false);
-        let next_wake = state.registry().next_wake();
-        tokio::select! {
-            () = state.cover_ended() => {
-                if !state.feed_role.borrow().readers.is_empty() {
-                    let jitter = rand::rng().random_range(0.0..1.0);
-                    sleep(COVER_ENDED_JITTER_MAX.mul_f64(jitter)).await;
-                }
-            }
-            () = sleep_until_some(next_wake) => {
-                state.update_registry(|registry| registry.on_tick(now()));
-            }
+        state.cover_ended().await;
+        if !state.feed_role.borrow().readers.is_empty() {
+            let jitter = rand::rng().random_range(0.0..1.0);
+            sleep(COVER_ENDED_JITTER_MAX.mul_f64(jitter)).await;
         }
     }
 }
