--- a/crates/papayastack/src/forward/tests/mod.rs
+++ b/crates/papayastack/src/forward/tests/mod.rs
@@ -10,6 +10,7 @@
 mod load;
 mod model;
 mod outages;
+mod peer_feed;
 mod plan;
 mod records;
 mod registry;
