--- a/crates/papayastack/src/forward/following.rs
+++ b/crates/papayastack/src/forward/following.rs
@@ -95,17 +95,19 @@
     let mut changes = state.feed_changes.subscribe();
     loop {
         changes.borrow_and_update();
-        if let AnswerSoFar::Ready(answer) = answer_now(state, &question) {
-            return answer;
-        }
-        // An error of the inner result cannot occur: `state` holds the sender.
-        if timeout_at(until, changes.changed()).await.is_err() {
-            break;
+        match answer_now(state, &question) {
+            AnswerSoFar::Ready(answer) => return answer,
+            AnswerSoFar::Waiting(answer) => {
+                // An error of the inner result cannot occur: `state` holds the sender.
+                if timeout_at(until, changes.changed()).await.is_err() {
+                    return match answer_now(state, &question) {
+                        AnswerSoFar::Ready(later) | AnswerSoFar::Waiting(later) => later,
+                    };
+                }
+                drop(answer);
+            }
         }
     }
-    match answer_now(state, &question) {
-        AnswerSoFar::Ready(answer) | AnswerSoFar::Waiting(answer) => answer,
-    }
 }
 
 fn answer_now(state: &ForwardState, question: &FeedQuestion) -> AnswerSoFar {
