--- a/review/rig/kit.rs
+++ b/review/rig/kit.rs
@@ -130,19 +130,21 @@
     (listener, address)
 }
 
-/// Returns an address that is free for connections and for datagrams. Each gateway has a loopback address
-/// of its own, so that nothing else takes its ports before it starts.
-fn free_address(number: usize) -> SocketAddr {
+/// Returns five addresses that are free for connections and for datagrams. Each gateway has a loopback
+/// address of its own, so that nothing else takes its ports before it starts.
+fn free_addresses(number: usize) -> [SocketAddr; 5] {
     let process = std::process::id();
     let host = format!("127.{}.{}.{}:0", 1 + (process >> 8) % 250, process % 250, number + 1);
-    loop {
+    // All are held until the last one is found, so that no port is taken twice.
+    let mut held = Vec::new();
+    while held.len() < 5 {
         let listener = TcpListener::bind(&host).expect("a free port");
         let address = listener.local_addr().expect("a bound port");
-        if UdpSocket::bind(address).is_ok() {
-            drop(listener);
-            return address;
+        if let Ok(datagrams) = UdpSocket::bind(address) {
+            held.push((listener, datagrams, address));
         }
     }
+    std::array::from_fn(|position| held[position].2)
 }
 
 pub fn unix_ms() -> u64 {
@@ -510,8 +512,7 @@
 impl Gateway {
     pub fn new(folder: &str, number: usize, store: SocketAddr) -> Self {
         let name = format!("front-{number}");
-        let addresses: Vec<SocketAddr> = (0..5).map(|_| free_address(number)).collect();
-        let [front, ready, directory, link, operator] = addresses[..] else { unreachable!() };
+        let [front, ready, directory, link, operator] = free_addresses(number);
         let zone = ZONES[number % ZONES.len()];
         let settings = format!(
             "{{\"vm\":\"{name}\",\"data_centre\":\"{zone}\",\"data_centres\":{{\"centro-a\":\"mx-centro\",\
--- a/review/rig/lost_watch.rs
+++ b/review/rig/lost_watch.rs
@@ -22,8 +22,9 @@
             body: b"the history of one grant".to_vec(),
         })
     };
+    // All in one zone, so that each gateway uses all of them.
     let servers: Vec<Arc<Server>> =
-        ["centro-a", "centro-b"].into_iter().enumerate().map(|(n, zone)| server(n, zone)).collect();
+        ["centro-b", "centro-b"].into_iter().enumerate().map(|(n, zone)| server(n, zone)).collect();
     for it in &servers {
         store.put("servers", &it.id, &it.entry("ready"));
     }
@@ -31,7 +32,7 @@
     store.put("config", "main", &configuration(7, &routes, &["archive"]));
     setting.start(&mut gateways);
     // News, after which only the gateways that read the store for themselves or others watch again.
-    let third = server(2, "centro-c");
+    let third = server(2, "centro-b");
     store.put("servers", &third.id, &third.entry("ready"));
     thread::sleep(Duration::from_secs(4));
     let watchers = store.watchers("servers");
@@ -75,7 +76,7 @@
     record.say(&format!("{} drains, acknowledged by the store", drains.id));
     thread::sleep(DRAIN + Duration::from_millis(500));
     for (number, gateway) in gateways.iter().enumerate() {
-        asked(&format!("gateway {number}"), std::slice::from_ref(gateway), 16);
+        asked(&format!("gateway {number}"), std::slice::from_ref(gateway), 24);
     }
     let arrivals = arrivals.lock().unwrap();
     let late: Vec<u128> = arrivals
--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -2,6 +2,7 @@
 //! if it held, and with 2 if the case could not run. `TROUBLE=0` leaves the disruption out.
 
 mod error_parts;
+mod failed_refusal;
 mod kit;
 mod late_stop;
 mod lost_watch;
@@ -55,6 +56,7 @@
     setting.record.say(&format!("case {case}, with the disruption: {with_trouble}"));
     let broken = match case.as_str() {
         "error-parts" => error_parts::play(&setting),
+        "failed-refusal" => failed_refusal::play(&setting),
         "unreadable-entry" => unreadable_entry::play(&setting),
         "late-stop" => late_stop::play(&setting),
         "lost-watch" => lost_watch::play(&setting),
