--- a/review/rig/kit.rs
+++ b/review/1/kit.rs
@@ -1,5 +1,6 @@
-//! What the review's scripts share: a small store, servers, clients and gateway processes, all on
-//! loopback and with the standard library alone.
+//! A small store, servers, clients and gateway processes for a script of the review, all on loopback and
+//! with the standard library alone. The file is the same in each case, so that each case stands alone.
+#![allow(dead_code)]
 
 use std::collections::BTreeMap;
 use std::fs::File;
@@ -746,3 +747,52 @@
     println!("the case cannot run: {why}");
     std::process::exit(2);
 }
+
+/// What all scripts need.
+pub struct Setting {
+    pub record: Arc<Record>,
+    pub with_trouble: bool,
+    pub folder: String,
+}
+
+/// The machines of a small deployment.
+pub const GATEWAYS: usize = 4;
+
+impl Setting {
+    /// Creates the store and the gateways, which are not started yet.
+    pub fn deployment(&self) -> (Arc<Store>, Vec<Gateway>) {
+        let (store, addresses) = Store::start(GATEWAYS, &self.record);
+        let gateways = addresses.iter().enumerate();
+        let gateways =
+            gateways.map(|(number, address)| Gateway::new(&self.folder, number, *address));
+        (store, gateways.collect())
+    }
+
+    /// Starts all gateways and waits until they are ready and have found each other.
+    pub fn start(&self, gateways: &mut [Gateway]) {
+        gateways.iter_mut().for_each(Gateway::start);
+        if !wait_until_ready(gateways, Duration::from_secs(15)) {
+            cannot_run("the gateways do not become ready");
+        }
+        std::thread::sleep(Duration::from_secs(3));
+        self.record.say("all gateways are ready");
+    }
+}
+
+/// Plays a case: `RECORD` is the only argument. Exits with 1 if the rule was broken, with 0 if it held, and
+/// with 2 if the case could not run. `TROUBLE=0` leaves the disruption out.
+pub fn run(case: &str, play: impl FnOnce(&Setting) -> bool) -> ! {
+    let Some(record) = std::env::args().nth(1) else {
+        cannot_run("the path of the record is missing")
+    };
+    let folder = std::env::temp_dir().join(format!("papaya-review-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a temporary folder");
+    let with_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let folder = folder.to_string_lossy().into_owned();
+    let setting = Setting { record: Record::open(&record), with_trouble, folder };
+    setting.record.say(&format!("case {case}, with the disruption: {with_trouble}"));
+    let broken = play(&setting);
+    setting.record.say(if broken { "RULE BROKEN" } else { "the rule held" });
+    let _ = std::fs::remove_dir_all(&setting.folder);
+    std::process::exit(i32::from(broken));
+}
--- a/review/rig/failed_refusal.rs
+++ b/review/1/main.rs
@@ -1,13 +1,14 @@
 //! Servers fail part of the requests that they ran with a sealed 503 of their own.
 
-use crate::Setting;
-use crate::kit::*;
+mod kit;
+
+use kit::*;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
 use std::time::Duration;
 
-pub fn play(setting: &Setting) -> bool {
+fn play(setting: &Setting) -> bool {
     let record = &setting.record;
     let (store, mut gateways) = setting.deployment();
     let arrivals: Arrivals = Arc::default();
@@ -65,3 +66,7 @@
     record.say(&format!("60 reminders sent: {broken} unsafe requests ran and were answered as not run; {doubled} reminders ran twice"));
     broken > 0
 }
+
+fn main() {
+    run("failed-refusal", play)
+}
--- a/review/rig/error_parts.rs
+++ b/review/2/main.rs
@@ -1,7 +1,8 @@
 //! A server of one shard fails part of its requests with a sealed 404.
 
-use crate::Setting;
-use crate::kit::*;
+mod kit;
+
+use kit::*;
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -10,7 +11,7 @@
 const SHARDS: [&str; 3] = ["shard-a", "shard-b", "shard-c"];
 const TOP: usize = 5;
 
-pub fn play(setting: &Setting) -> bool {
+fn play(setting: &Setting) -> bool {
     let record = &setting.record;
     let (store, mut gateways) = setting.deployment();
     let arrivals: Arrivals = Arc::default();
@@ -113,3 +114,7 @@
     records.truncate(TOP);
     (answer.body != records.concat()).then(|| "the body is not the greatest records".to_owned())
 }
+
+fn main() {
+    run("error-parts", play)
+}
--- a/review/rig/late_stop.rs
+++ b/review/4/main.rs
@@ -1,7 +1,8 @@
 //! A gateway gets SIGTERM; requests that arrive later than 3 s after it need longer than it has left.
 
-use crate::Setting;
-use crate::kit::*;
+mod kit;
+
+use kit::*;
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -12,7 +13,7 @@
 const SENT_MS: [u64; 4] = [3_050, 3_100, 3_150, 3_200];
 const GRACE: Duration = Duration::from_secs(6);
 
-pub fn play(setting: &Setting) -> bool {
+fn play(setting: &Setting) -> bool {
     let record = &setting.record;
     let (store, mut gateways) = setting.deployment();
     let arrivals: Arrivals = Arc::default();
@@ -96,3 +97,7 @@
     }
     cut > 0
 }
+
+fn main() {
+    run("late-stop", play)
+}
--- a/review/rig/lost_watch.rs
+++ b/review/5/main.rs
@@ -1,7 +1,8 @@
 //! The store loses the answer to one watch of a gateway.
 
-use crate::Setting;
-use crate::kit::*;
+mod kit;
+
+use kit::*;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::thread;
@@ -10,7 +11,7 @@
 const DRAIN: Duration = Duration::from_millis(3_000);
 const CONTACT: Duration = Duration::from_millis(4_000);
 
-pub fn play(setting: &Setting) -> bool {
+fn play(setting: &Setting) -> bool {
     let record = &setting.record;
     let (store, mut gateways) = setting.deployment();
     let arrivals: Arrivals = Arc::default();
@@ -93,3 +94,7 @@
     ));
     !late.is_empty()
 }
+
+fn main() {
+    run("lost-watch", play)
+}
