--- a/review/5/main.rs
+++ b/review/5/main.rs
@@ -1,100 +1,112 @@
-//! The store loses the answer to one watch of a gateway.
+//! CONFIG: machines that have lost their links let a machine with an older configuration serve, so
+//! that they go back to a version that they had left.
 
-mod kit;
+mod stand_ins;
 
-use kit::*;
+use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::thread;
-use std::time::{Duration, Instant};
 
-const DRAIN: Duration = Duration::from_millis(3_000);
-const CONTACT: Duration = Duration::from_millis(4_000);
+use stand_ins::*;
 
-fn play(setting: &Setting) -> bool {
-    let record = &setting.record;
-    let (store, mut gateways) = setting.deployment();
-    let arrivals: Arrivals = Arc::default();
-    let server = |number: usize, zone: &str| {
-        let id = format!("i-archive-{number}");
-        Server::start(&id, "archive", zone, &arrivals, |_| Work {
-            takes: Duration::from_millis(5),
-            status: "200 OK",
-            body: b"the history of one grant".to_vec(),
-        })
-    };
-    // All in one zone, so that each gateway uses all of them.
-    let servers: Vec<Arc<Server>> =
-        ["centro-b", "centro-b"].into_iter().enumerate().map(|(n, zone)| server(n, zone)).collect();
-    for it in &servers {
-        store.put("servers", &it.id, &it.entry("ready"));
-    }
-    let routes = [route("r-fetch", "/fetch/", "safe", 5000, 800, "\"service\":\"archive\"")];
-    store.put("config", "main", &configuration(7, &routes, &["archive"]));
-    setting.start(&mut gateways);
-    // News, after which only the gateways that read the store for themselves or others watch again.
-    let third = server(2, "centro-b");
-    store.put("servers", &third.id, &third.entry("ready"));
-    thread::sleep(Duration::from_secs(4));
-    let watchers = store.watchers("servers");
-    record.say(&format!("gateways that watch the servers' entries: {watchers:?}"));
-    let Some(chosen) = watchers.first().copied() else { cannot_run("no gateway watches") };
-    let asked = |label: &str, gateways: &[Gateway], requests: usize| {
-        let mut served = 0;
-        for number in 0..requests {
-            let sent = request("GET", "/fetch/2f", &attempt_id(), 5000, &[]);
-            let outcome =
-                ask(gateways[number % gateways.len()].front, &sent, Duration::from_secs(2));
-            served +=
-                usize::from(matches!(&outcome, Outcome::Answer(answer) if answer.status() == 200));
-            thread::sleep(Duration::from_millis(10));
+const GATEWAYS: usize = 3;
+/// The machine that is partitioned from the store; `core_cut` of the site: one machine, 5.5 s.
+const BEHIND: usize = 2;
+const STORE_CUT_FOR: u64 = 5_500;
+/// How long after the ack the others lose their backends, and for how long.
+const LINKS_CUT_AFTER: u64 = 1_500;
+const LINKS_CUT_FOR: u64 = 3_000;
+const ROLLBACK_SLACK: u64 = 250;
+const CONFIG_APPLY: u64 = 3_000;
+
+fn main() {
+    let record = Record::open(Path::new(&std::env::args().nth(1).expect("the path of the record")));
+    let folder = temporary_folder("5");
+    let (store, runs) = (Store::start(), Runs::default());
+    for service in ["board-1", "board-2"] {
+        for n in 0..6 {
+            let id = format!("i-{service}-{n}");
+            Backend::start(&store, &runs, &id, service, answers(ms(6), service.as_bytes().to_vec()));
         }
-        record.say(&format!("{label}: {served} of {requests} requests served"));
+    }
+    let version = |number: u64, service: &str| {
+        let routes = [route("r-1", "/board/", "safe", service, 1_200, 200)];
+        configuration(number, &routes, &["board-1", "board-2"])
     };
-    asked("before", &gateways, 24);
-    let lost_before = store.lost.load(Ordering::Relaxed);
-    let answers_before = store.answers.load(Ordering::Relaxed);
-    let lossy_from = Instant::now();
-    if setting.with_trouble {
-        *store.loses.lock().unwrap() = Some((chosen, "servers".to_owned()));
+    store.put("config", "main", version(3, "board-1"));
+    let links: Vec<Arc<Links>> = (0..GATEWAYS).map(|_| Arc::default()).collect();
+    let gateways: Vec<Gateway> = (0..GATEWAYS)
+        .map(|n| Gateway::start_at(&folder, &format!("front-{n}"), &store, store.open_for(&links[n])))
+        .collect();
+    if !gateways.iter().all(|gateway| gateway.wait_until_ready(ms(10_000))) {
+        record.line("a gateway did not start");
+        finish(&record, gateways, &folder, NOT_RUN);
     }
-    // A fourth server starts: news for each watch.
-    let fourth = server(3, "centro-b");
-    store.put("servers", &fourth.id, &fourth.entry("ready"));
-    record.say(&format!("{} starts", fourth.id));
-    thread::sleep(Duration::from_millis(1_500));
-    *store.loses.lock().unwrap() = None;
-    record.say(&format!(
-        "the store was lossy for {} ms: {} answers lost, {} given",
-        lossy_from.elapsed().as_millis(),
-        store.lost.load(Ordering::Relaxed) - lost_before,
-        store.answers.load(Ordering::Relaxed) - answers_before
-    ));
-    // All machines are in touch again after `contact_ms`.
-    thread::sleep(CONTACT + Duration::from_secs(2));
-    let drains = &servers[0];
-    drains.leaving.store(true, Ordering::Relaxed);
-    store.put("servers", &drains.id, &drains.entry("draining"));
-    let drained = Instant::now();
-    record.say(&format!("{} drains, acknowledged by the store", drains.id));
-    thread::sleep(DRAIN + Duration::from_millis(500));
-    for (number, gateway) in gateways.iter().enumerate() {
-        asked(&format!("gateway {number}"), std::slice::from_ref(gateway), 24);
+    record.line(format!("{GATEWAYS} gateways are ready; version 3 sends /board/ to board-1"));
+    let to: Vec<_> = gateways.iter().map(|gateway| gateway.caller).collect();
+    let traffic = Traffic::start(to, vec![Kind("GET", "/board/grant", ms(1_200))], ms(20));
+    thread::sleep(ms(4_000));
+    let has_trouble = !without_trouble();
+    if has_trouble {
+        links[BEHIND].store_is_cut.store(true, Ordering::Release);
+        record.line(format!("front-{BEHIND} is partitioned from the store"));
     }
-    let arrivals = arrivals.lock().unwrap();
-    let late: Vec<u128> = arrivals
-        .iter()
-        .filter(|it| it.server == drains.id && it.ran && it.at > drained + DRAIN)
-        .map(|it| it.at.saturating_duration_since(drained).as_millis())
-        .collect();
-    record.say(&format!(
-        "requests at {} later than {} ms after the ack, in ms after it: {late:?}",
-        drains.id,
-        DRAIN.as_millis()
-    ));
-    !late.is_empty()
-}
+    thread::sleep(ms(500));
+    let acknowledged = store.put("config", "main", version(8, "board-2"));
+    record.line("the store acknowledges version 8, which sends /board/ to board-2");
+    thread::sleep(ms(LINKS_CUT_AFTER));
+    let others = || links.iter().enumerate().filter(|(n, _)| *n != BEHIND).map(|(_, link)| link);
+    if has_trouble {
+        others().for_each(|link| link.is_cut.store(true, Ordering::Release));
+        record.line("the other machines are partitioned from all backends");
+    }
+    thread::sleep(ms(LINKS_CUT_FOR));
+    others().for_each(|link| link.is_cut.store(false, Ordering::Release));
+    record.line("the others reach the backends again");
+    thread::sleep(ms(STORE_CUT_FOR - 500 - LINKS_CUT_AFTER - LINKS_CUT_FOR));
+    links[BEHIND].store_is_cut.store(false, Ordering::Release);
+    record.line(format!("front-{BEHIND} reaches the store again"));
+    thread::sleep(ms(3_000));
+    let outcomes = traffic.stop();
 
-fn main() {
-    run("lost-watch", play)
+    let body = |it: &Outcome| it.answer.as_ref().map(|(.., body)| body.clone()).unwrap_or_default();
+    let (mut regressed, mut late) = (0, 0);
+    // The machine that is cut off from the store is not in touch.
+    for gateway in (0..GATEWAYS).filter(|gateway| *gateway != BEHIND) {
+        let own: Vec<&Outcome> = outcomes.iter().filter(|it| it.gateway == gateway).collect();
+        // A backend of board-2 saw the effect of version 8 through this machine by then.
+        let Some(first) = own.iter().filter(|it| body(it) == b"board-2").map(|it| it.ended).min() else {
+            record.line(format!("front-{gateway} never acted on version 8"));
+            continue;
+        };
+        let old: Vec<&&Outcome> = own
+            .iter()
+            .filter(|it| it.sent > first + ms(ROLLBACK_SLACK) && body(it) == b"board-1")
+            .collect();
+        record.line(format!(
+            "front-{gateway}: acted on version 8 at {:.3} s; sent later than {ROLLBACK_SLACK} ms after that \
+             and run by board-1: {} of {}",
+            record.seconds(first),
+            old.len(),
+            own.iter().filter(|it| it.sent > first + ms(ROLLBACK_SLACK)).count()
+        ));
+        if let (Some(one), Some(last)) = (old.first(), old.last()) {
+            let (one, last) = (record.seconds(one.sent), record.seconds(last.sent));
+            record.line(format!("  sent from {one:.3} to {last:.3} s"));
+        }
+        regressed += old.len();
+        late += old.iter().filter(|it| it.sent > acknowledged + ms(CONFIG_APPLY)).count();
+    }
+    record.line(format!("statuses {:?}", statuses(outcomes.iter())));
+    record.line(format!(
+        "regressed: {regressed}; of these sent later than {CONFIG_APPLY} ms after the ack: {late}"
+    ));
+    let (count, all) = served(outcomes.iter());
+    let code = match regressed {
+        _ if all == 0 || count * 4 < all => NOT_RUN,
+        0 => OK,
+        _ => BROKEN,
+    };
+    finish(&record, gateways, &folder, code);
 }
--- a/review/12/stand_ins.rs
+++ b/review/5/stand_ins.rs
@@ -289,10 +289,16 @@
         while let Some(request) = read_message(&mut reader)? {
             let path = request.target().split('?').next().unwrap_or("").to_owned();
             *self.calls.lock().unwrap().entry(path).or_default() += 1;
+            let wait_for_link = || {
+                while links.is_some_and(|links| links.store_is_cut.load(Ordering::Acquire)) {
+                    thread::sleep(ms(2));
+                }
+            };
+            wait_for_link();
             let answer = self.answer(&request);
-            // Calls that wait at the store are turned away too.
+            // What was under way when the cut began arrives once it has healed.
+            wait_for_link();
             let answer = match links {
-                Some(links) if links.is_turned_away.load(Ordering::Acquire) => response(503, &[], b""),
                 Some(links) if request.target().starts_with("/objects/servers") => {
                     links.rewrite(answer)
                 }
@@ -884,15 +890,15 @@
 // ---------------------------------------------------------------------------------------------
 // The links of one machine
 
-/// The links of one machine to the backends and the store: a proxy for each backend, which can be
-/// cut, and the store's readiness to serve the machine.
+/// The links of one machine to the backends and the store. Each can be cut: a proxy stands before each
+/// backend, and the store holds its calls and answers back.
 #[derive(Default)]
 pub struct Links {
     /// While set, the machine is partitioned from all backends: open connections and new ones are
     /// reset.
     pub is_cut: Arc<AtomicBool>,
-    /// While set, the store turns the machine away with 503.
-    pub is_turned_away: AtomicBool,
+    /// While set, the machine is partitioned from the store: connections hang.
+    pub store_is_cut: AtomicBool,
     ports: Mutex<BTreeMap<u16, u16>>,
 }
 
