--- a/review/5/main.rs
+++ b/review/5/main.rs
@@ -3,6 +3,7 @@
 
 mod stand_ins;
 
+use std::collections::BTreeMap;
 use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -27,7 +28,13 @@
     for service in ["board-1", "board-2"] {
         for n in 0..6 {
             let id = format!("i-{service}-{n}");
-            Backend::start(&store, &runs, &id, service, answers(ms(6), service.as_bytes().to_vec()));
+            Backend::start(
+                &store,
+                &runs,
+                &id,
+                service,
+                answers(ms(6), service.as_bytes().to_vec()),
+            );
         }
     }
     let version = |number: u64, service: &str| {
@@ -37,7 +44,9 @@
     store.put("config", "main", version(3, "board-1"));
     let links: Vec<Arc<Links>> = (0..GATEWAYS).map(|_| Arc::default()).collect();
     let gateways: Vec<Gateway> = (0..GATEWAYS)
-        .map(|n| Gateway::start_at(&folder, &format!("front-{n}"), &store, store.open_for(&links[n])))
+        .map(|n| {
+            Gateway::start_at(&folder, &format!("front-{n}"), &store, store.open_for(&links[n]))
+        })
         .collect();
     if !gateways.iter().all(|gateway| gateway.wait_until_ready(ms(10_000))) {
         record.line("a gateway did not start");
@@ -70,34 +79,65 @@
     thread::sleep(ms(3_000));
     let outcomes = traffic.stop();
 
-    let body = |it: &Outcome| it.answer.as_ref().map(|(.., body)| body.clone()).unwrap_or_default();
+    let runs = runs.lock().unwrap().clone();
+    let runs_of: BTreeMap<&str, &Run> = runs
+        .iter()
+        .filter(|run| run.status == 200)
+        .map(|run| (run.request.as_str(), run))
+        .collect();
+    let ran_by = |it: &Outcome, service: &str| {
+        runs_of.get(it.id.as_str()).is_some_and(|run| run.service == service)
+    };
     let (mut regressed, mut late) = (0, 0);
     // The machine that is cut off from the store is not in touch.
     for gateway in (0..GATEWAYS).filter(|gateway| *gateway != BEHIND) {
-        let own: Vec<&Outcome> = outcomes.iter().filter(|it| it.gateway == gateway).collect();
+        let own = || outcomes.iter().filter(|it| it.gateway == gateway);
         // A backend of board-2 saw the effect of version 8 through this machine by then.
-        let Some(first) = own.iter().filter(|it| body(it) == b"board-2").map(|it| it.ended).min() else {
+        let Some(first) = own().filter(|it| ran_by(it, "board-2")).map(|it| it.ended).min() else {
             record.line(format!("front-{gateway} never acted on version 8"));
             continue;
         };
-        let old: Vec<&&Outcome> = own
-            .iter()
-            .filter(|it| it.sent > first + ms(ROLLBACK_SLACK) && body(it) == b"board-1")
-            .collect();
+        record
+            .line(format!("front-{gateway} acted on version 8 by {:.3} s", record.seconds(first)));
+        let after = || own().filter(|it| it.sent > first + ms(ROLLBACK_SLACK));
+        let old: Vec<&Outcome> = after().filter(|it| ran_by(it, "board-1")).collect();
+        for it in &old {
+            let run = runs_of[it.id.as_str()];
+            record.line(format!(
+                "  {} sent to front-{gateway} at {:.3} s, run by {} at {:.3} s, answered {}",
+                it.id,
+                record.seconds(it.sent),
+                run.backend,
+                record.seconds(run.began),
+                it.status()
+            ));
+        }
         record.line(format!(
-            "front-{gateway}: acted on version 8 at {:.3} s; sent later than {ROLLBACK_SLACK} ms after that \
-             and run by board-1: {} of {}",
-            record.seconds(first),
+            "front-{gateway}: sent more than {ROLLBACK_SLACK} ms later and run by board-1: {} of {}",
             old.len(),
-            own.iter().filter(|it| it.sent > first + ms(ROLLBACK_SLACK)).count()
+            after().count()
         ));
-        if let (Some(one), Some(last)) = (old.first(), old.last()) {
-            let (one, last) = (record.seconds(one.sent), record.seconds(last.sent));
-            record.line(format!("  sent from {one:.3} to {last:.3} s"));
-        }
         regressed += old.len();
         late += old.iter().filter(|it| it.sent > acknowledged + ms(CONFIG_APPLY)).count();
     }
+    for it in outcomes.iter().filter(|it| it.status() != 200) {
+        record.line(format!(
+            "not served: {} sent to front-{} at {:.3} s, answered {} {}",
+            it.id,
+            it.gateway,
+            record.seconds(it.sent),
+            it.status(),
+            it.problem
+        ));
+    }
+    let sent_to = |gateway: usize| outcomes.iter().filter(|it| it.gateway == gateway).count();
+    let sent: Vec<usize> = (0..GATEWAYS).map(sent_to).collect();
+    let ran = |service: &str| runs.iter().filter(|run| run.service == service).count();
+    record.line(format!(
+        "sent to each machine: {sent:?}; run by board-1: {}, by board-2: {}",
+        ran("board-1"),
+        ran("board-2")
+    ));
     record.line(format!("statuses {:?}", statuses(outcomes.iter())));
     record.line(format!(
         "regressed: {regressed}; of these sent later than {CONFIG_APPLY} ms after the ack: {late}"
--- a/review/5/stand_ins.rs
+++ b/review/5/stand_ins.rs
@@ -1,12 +1,11 @@
 //! Stand-ins for the platform's store, the backends and the clients, and the control of gateway
 //! processes. Only the standard library is used.
-#![allow(dead_code)]
 
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::fs::File;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::os::fd::AsRawFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -156,11 +155,14 @@
     }
 }
 
+/// Returns a port that is free for connections and datagrams, below the ports that outgoing
+/// connections get.
 pub fn free_port() -> u16 {
-    static LAST: AtomicU64 = AtomicU64::new(0);
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    let first = u64::from(std::process::id()) * 61;
     loop {
-        let port = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().port();
-        if LAST.swap(u64::from(port), Ordering::AcqRel) != u64::from(port) {
+        let port = 12_000 + ((first + NEXT.fetch_add(1, Ordering::AcqRel)) % 18_000) as u16;
+        if TcpListener::bind(loopback(port)).is_ok() && UdpSocket::bind(loopback(port)).is_ok() {
             return port;
         }
     }
@@ -194,13 +196,6 @@
     pub address: SocketAddr,
     contents: Mutex<Contents>,
     changed: Condvar,
-    /// While set, the answers to watches of the kind `config` are lost: the connection stays open and
-    /// returns nothing further.
-    pub loses_answers: AtomicBool,
-    pub answers_given: AtomicU64,
-    pub answers_lost: AtomicU64,
-    /// Counts the calls by their path without the query.
-    pub calls: Mutex<BTreeMap<String, u64>>,
 }
 
 impl Store {
@@ -210,10 +205,6 @@
             address: listener.local_addr().unwrap(),
             contents: Mutex::new(Contents { revision: 100, ..Contents::default() }),
             changed: Condvar::new(),
-            loses_answers: AtomicBool::new(false),
-            answers_given: AtomicU64::new(0),
-            answers_lost: AtomicU64::new(0),
-            calls: Mutex::default(),
         });
         let accepting = Arc::clone(&store);
         thread::spawn(move || {
@@ -251,14 +242,9 @@
 
     /// Writes an object of which nothing but its count of updates has changed: no event.
     pub fn put_quietly(&self, kind: &str, name: &str, spec: impl Into<Vec<u8>>) {
-        self.answers_given.fetch_add(1, Ordering::AcqRel);
         self.write(kind, name, Some(spec.into()), false);
     }
 
-    pub fn remove(&self, kind: &str, name: &str) -> Instant {
-        self.write(kind, name, None, true)
-    }
-
     fn write(&self, kind: &str, name: &str, spec: Option<Vec<u8>>, is_event: bool) -> Instant {
         let mut contents = self.contents.lock().unwrap();
         let key = (kind.to_owned(), name.to_owned());
@@ -287,8 +273,6 @@
         let mut writer = stream.try_clone()?;
         let mut reader = BufReader::new(stream);
         while let Some(request) = read_message(&mut reader)? {
-            let path = request.target().split('?').next().unwrap_or("").to_owned();
-            *self.calls.lock().unwrap().entry(path).or_default() += 1;
             let wait_for_link = || {
                 while links.is_some_and(|links| links.store_is_cut.load(Ordering::Acquire)) {
                     thread::sleep(ms(2));
@@ -304,16 +288,7 @@
                 }
                 _ => answer,
             };
-            let is_config_watch = request.target().starts_with("/objects/config?watch");
-            if is_config_watch && self.loses_answers.load(Ordering::Acquire) {
-                self.answers_lost.fetch_add(1, Ordering::AcqRel);
-                // The connection returns nothing further.
-                let mut rest = Vec::new();
-                let _ = reader.read_to_end(&mut rest);
-                return Ok(());
-            }
             thread::sleep(ms(4));
-            self.answers_given.fetch_add(1, Ordering::AcqRel);
             writer.write_all(&answer)?;
         }
         Ok(())
@@ -391,7 +366,8 @@
                     if position > 0 {
                         body.push(b',');
                     }
-                    let object = event.spec.clone().map(|spec| Object { revision: event.revision, spec });
+                    let object =
+                        event.spec.clone().map(|spec| Object { revision: event.revision, spec });
                     body.extend(format!("{{\"deleted\":{},\"object\":", object.is_none()).bytes());
                     body.extend(object_body(&event.name, object.as_ref()));
                     body.push(b'}');
@@ -458,7 +434,13 @@
 pub type Runs = Arc<Mutex<Vec<Run>>>;
 
 impl Backend {
-    pub fn start(store: &Arc<Store>, runs: &Runs, id: &str, service: &str, does: Behaviour) -> Arc<Self> {
+    pub fn start(
+        store: &Arc<Store>,
+        runs: &Runs,
+        id: &str,
+        service: &str,
+        does: Behaviour,
+    ) -> Arc<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let backend = Arc::new(Self {
             id: id.to_owned(),
@@ -501,24 +483,6 @@
         backend
     }
 
-    pub fn set_behaviour(&self, does: Behaviour) {
-        *self.behaviour.lock().unwrap() = does;
-    }
-
-    /// Reports that the backend is draining; returns the moment of the store's acknowledgement.
-    pub fn drain(&self) -> Instant {
-        self.draining.store(true, Ordering::Release);
-        self.sequence.fetch_add(1, Ordering::AcqRel);
-        self.store.put("servers", &self.id, self.entry())
-    }
-
-    /// Exits: the entry is removed, the port is closed.
-    pub fn exit(&self) {
-        self.gone.store(true, Ordering::Release);
-        self.store.remove("servers", &self.id);
-        let _ = TcpStream::connect(self.address);
-    }
-
     fn entry(&self) -> String {
         let state = if self.draining.load(Ordering::Acquire) { "draining" } else { "ready" };
         format!(
@@ -579,10 +543,8 @@
 // Gateway processes
 
 pub struct Gateway {
-    pub name: String,
     pub caller: SocketAddr,
     pub ready: SocketAddr,
-    pub directory: SocketAddr,
     settings: PathBuf,
     log: PathBuf,
     child: Option<Child>,
@@ -593,10 +555,6 @@
 }
 
 impl Gateway {
-    pub fn start(folder: &Path, name: &str, store: &Store) -> Self {
-        Self::start_at(folder, name, store, store.address)
-    }
-
     /// Starts a gateway that reaches the store at an address of its own. The keys are the same for all.
     pub fn start_at(folder: &Path, name: &str, store: &Store, store_address: SocketAddr) -> Self {
         let caller = loopback(free_port());
@@ -617,14 +575,14 @@
         );
         std::fs::write(&settings, text).unwrap();
         let log = folder.join(format!("{name}.log"));
-        let mut gateway =
-            Self { name: name.to_owned(), caller, ready, directory, settings, log, child: None };
+        let mut gateway = Self { caller, ready, settings, log, child: None };
         gateway.launch();
         gateway
     }
 
     pub fn launch(&mut self) {
-        let open = || std::fs::OpenOptions::new().create(true).append(true).open(&self.log).unwrap();
+        let open =
+            || std::fs::OpenOptions::new().create(true).append(true).open(&self.log).unwrap();
         let child = Command::new("target/release/papayad")
             .arg("gateway")
             .arg("--settings")
@@ -636,12 +594,6 @@
         self.child = child.ok();
     }
 
-    pub fn signal(&self, name: &str) {
-        if let Some(child) = &self.child {
-            let _ = Command::new("kill").arg(format!("-{name}")).arg(child.id().to_string()).status();
-        }
-    }
-
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
@@ -649,14 +601,6 @@
         }
     }
 
-    pub fn has_ended(&mut self) -> bool {
-        self.child.as_mut().is_none_or(|child| matches!(child.try_wait(), Ok(Some(_))))
-    }
-
-    pub fn log(&self) -> String {
-        std::fs::read_to_string(&self.log).unwrap_or_default()
-    }
-
     pub fn is_ready(&self) -> bool {
         let asked = send_on_new(self.ready, b"GET /readiness HTTP/1.1\r\nHost: x\r\n\r\n", ms(500));
         asked.is_ok_and(|answer| answer.status() == 200)
@@ -728,7 +672,14 @@
 }
 
 /// A route to one service.
-pub fn route(name: &str, prefix: &str, kind: &str, service: &str, timeout_ms: u64, goal_ms: u64) -> String {
+pub fn route(
+    name: &str,
+    prefix: &str,
+    kind: &str,
+    service: &str,
+    timeout_ms: u64,
+    goal_ms: u64,
+) -> String {
     format!(
         "{{\"name\":\"{name}\",\"host\":\"leno12.example\",\"path_prefix\":\"{prefix}\",\
          \"kind\":\"{kind}\",\"timeout_ms\":{timeout_ms},\"goal_ms\":{goal_ms},\"priority\":2,\
@@ -736,17 +687,6 @@
     )
 }
 
-/// A route to shards.
-pub fn fan_out(name: &str, prefix: &str, services: &[&str], top_k: u32, least: f64) -> String {
-    let named: Vec<String> = services.iter().map(|name| format!("\"{name}\"")).collect();
-    format!(
-        "{{\"name\":\"{name}\",\"host\":\"leno12.example\",\"path_prefix\":\"{prefix}\",\
-         \"kind\":\"safe\",\"timeout_ms\":1200,\"goal_ms\":200,\"priority\":1,\
-         \"fanout_services\":[{}],\"max_attempts\":2,\"top_k\":{top_k},\"min_shard_ratio\":{least}}}",
-        named.join(",")
-    )
-}
-
 /// A version of the configuration.
 pub fn configuration(version: u64, routes: &[String], services: &[&str]) -> String {
     let described: Vec<String> = services
@@ -773,7 +713,6 @@
 /// How a client attempt ended.
 #[derive(Clone)]
 pub struct Outcome {
-    pub path: String,
     pub id: String,
     pub gateway: usize,
     pub sent: Instant,
@@ -787,16 +726,16 @@
     pub fn status(&self) -> u16 {
         self.answer.as_ref().map_or(0, |(status, ..)| *status)
     }
-
-    pub fn header(&self, name: &str) -> Option<&str> {
-        let (_, headers, _) = self.answer.as_ref()?;
-        let found = headers.iter().find(|(own, _)| own.eq_ignore_ascii_case(name));
-        found.map(|(_, value)| value.as_str())
-    }
 }
 
 /// Sends one client attempt on a new connection.
-pub fn attempt(gateway: usize, to: SocketAddr, method: &str, path: &str, remaining: Duration) -> Outcome {
+pub fn attempt(
+    gateway: usize,
+    to: SocketAddr,
+    method: &str,
+    path: &str,
+    remaining: Duration,
+) -> Outcome {
     let id = attempt_id();
     let bytes = match method {
         "POST" => post(path, &id, remaining, b"work"),
@@ -806,7 +745,7 @@
     let answer = send_on_new(to, &bytes, remaining + ms(3_000));
     let problem = answer.as_ref().err().map_or(String::new(), ToString::to_string);
     let answer = answer.ok().map(|message| (message.status(), message.headers, message.body));
-    Outcome { path: path.to_owned(), id, gateway, sent, ended: Instant::now(), answer, problem }
+    Outcome { id, gateway, sent, ended: Instant::now(), answer, problem }
 }
 
 /// Clients that send attempts at an even pace, each on its own thread.
