Answer every request before a leaving VM stops

Cause: `Gateway::leave` took requests for 55% of the grace period whatever time they had, and dropped the connections of all that was in flight 0.4 s before the kill. Nothing told the requests when the process would stop.

A request that was cut had no log line; `request_cut` now names it.

Change: `forward::departure` holds how far a departure has come. Exchanges, relayed requests and attempts for other VMs end 0.6 s before the kill with what they have: a merged answer, 503 if nothing was sent, 502 otherwise. New requests are taken for half of that time; one that must not be repeated is refused as soon as its deadline lies beyond it. Refusals are sent once the body is read, since a close over unread bytes resets the connection.

--- a/crates/papayastack/src/forward/exchange.rs
+++ b/crates/papayastack/src/forward/exchange.rs
@@ -35,6 +35,9 @@
 /// a pause of this process.
 const LINKS_LOST_CONFIRMATION: Duration = Duration::from_millis(10);
 
+/// Why a request that outlasts the departure of its VM has no answer of an upstream.
+pub(crate) const STOPPED_DETAIL: &str = "this VM stops before the request ends";
+
 /// The request of an exchange, its route and the state that the exchange works with.
 pub(crate) struct ExchangeTask {
     pub(crate) state: Arc<ForwardState>,
@@ -120,7 +123,9 @@
 
     /// Runs until the caller can be answered, at the latest until the deadline.
     pub(crate) async fn run(mut self) -> ExchangeEnd {
-        let mut links_lost = self.task.state.links_lost.subscribe();
+        let state = Arc::clone(&self.task.state);
+        let mut links_lost = state.links_lost.subscribe();
+        let mut answers_due = std::pin::pin!(state.departure.answers_are_due());
         while !self.gather.is_finished() {
             let may_end = self.may_end_if_links_lost();
             let wake = tokio::time::Instant::from_std(self.gather.next_wake());
@@ -133,9 +138,10 @@
                 () = wait_until_lost(&mut links_lost), if may_end => {
                     // An attempt may have been sent while this waited.
                     if self.may_end_if_links_lost() {
-                        return self.end_without_links();
+                        return self.end_early("this VM has lost its links to the upstreams");
                     }
                 }
+                () = &mut answers_due => return self.end_early(STOPPED_DETAIL),
             }
         }
         let slow_attempts = self.slow_attempts();
@@ -162,8 +168,8 @@
         self.task.ends_if_links_lost && (repeatable || !self.sent.load(Ordering::Acquire))
     }
 
-    /// Ends the exchange with its attempts, none of which can be answered.
-    fn end_without_links(mut self) -> ExchangeEnd {
+    /// Ends the exchange and its attempts, none of which can be answered any more.
+    fn end_early(mut self, detail: &str) -> ExchangeEnd {
         let counts = self.gather.counts();
         self.task.state.metrics.repeats(counts);
         let was_sent = self.sent.load(Ordering::Acquire);
@@ -173,7 +179,7 @@
             attempts_used: if was_sent { self.gather.attempts_used() } else { 0 },
             parts: self.gather.take_parts(),
             failure: None,
-            last_problem: "this VM has lost its links to the upstreams".to_owned(),
+            last_problem: detail.to_owned(),
             given_up: self.gather.given_up().clone(),
             slow_attempts: Vec::new(),
         }
--- a/crates/papayastack/src/forward/feeds.rs
+++ b/crates/papayastack/src/forward/feeds.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use papayastack_macros::closed_set;
@@ -589,7 +588,7 @@
         }
         let version = routes.borrow_and_update().as_ref().map(|table| table.document().version);
         if let (Some(version), true) = (version, upstreams.borrow_and_update().is_some())
-            && !state.leaving.load(Ordering::Acquire)
+            && !state.departure.is_leaving()
         {
             membership.set_configuration_version(version);
         }
--- a/crates/papayastack/src/forward/following.rs
+++ b/crates/papayastack/src/forward/following.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use async_trait::async_trait;
@@ -111,7 +110,7 @@
 }
 
 fn answer_now(state: &ForwardState, question: &FeedQuestion) -> AnswerSoFar {
-    if state.leaving.load(Ordering::Acquire) {
+    if state.departure.is_leaving() {
         return AnswerSoFar::Ready(FeedAnswer::NotReading);
     }
     let now = now();
--- a/crates/papayastack/src/forward/gateway.rs
+++ b/crates/papayastack/src/forward/gateway.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use error_stack::{Report, ResultExt};
@@ -32,8 +31,6 @@
 
 /// The interval at which the requests still in flight are polled while leaving.
 const PROGRESS_INTERVAL: Duration = Duration::from_millis(20);
-/// The share of the grace period (`stop_grace_s`) after which new requests are refused.
-const ACCEPT_GRACE_SHARE: f64 = 0.55;
 /// How long callers' connections may stay idle while the VM has no routes, and thus no configured
 /// limits; requests are then refused with a retry time below one second.
 const NOT_SERVING_IDLE_MAX: Duration = Duration::from_secs(30);
@@ -41,6 +38,8 @@
 const BIND_ATTEMPTS_MAX: u32 = 8;
 /// How long connections of other VMs may stay idle; longer than those VMs keep them.
 const RELAY_IDLE_MAX: Duration = Duration::from_secs(60);
+/// The time reserved before the stop to send the answers of requests that have not ended.
+const ANSWER_TIME: Duration = Duration::from_millis(200);
 /// The time reserved at the end of the grace period for the process to exit.
 const STOP_MARGIN: Duration = Duration::from_millis(400);
 
@@ -204,21 +203,23 @@
         let lifetime = Duration::from_secs(self.state.settings.address_lifetime_max_s);
         let in_flight = self.in_flight();
         self.state.log.write(DecisionEvent::Stopping, || json!({ "in_flight": in_flight }));
-        self.state.leaving.store(true, Ordering::Release);
+        let end = grace.saturating_sub(STOP_MARGIN);
+        let answers_due = end.saturating_sub(ANSWER_TIME);
+        self.state.departure.begin(started + answers_due);
         self.state.wake_followers();
         self.membership.leave();
         self.caller_server.retire();
         self.relay_server.retire();
         let mut leaving = Leaving::new(lifetime, started);
         leaving.begin(started);
-        let accept_max = grace.mul_f64(ACCEPT_GRACE_SHARE);
+        // A request that is taken last still has as much time to end.
+        let accept_max = answers_due / 2;
         while leaving.advance(self.in_flight(), Instant::now()).accepts()
             && started.elapsed() < accept_max
         {
             tokio::time::sleep(PROGRESS_INTERVAL).await;
         }
-        self.state.refuses_requests.store(true, Ordering::Release);
-        let end = grace.saturating_sub(STOP_MARGIN);
+        self.state.departure.refuse_all();
         while self.in_flight() > 0 && started.elapsed() < end {
             tokio::time::sleep(PROGRESS_INTERVAL).await;
         }
--- a/crates/papayastack/src/forward/ingress.rs
+++ b/crates/papayastack/src/forward/ingress.rs
@@ -154,6 +154,29 @@
     }
 }
 
+/// Logs, when dropped, that a request ended without an answer while this VM leaves.
+struct CutWatch<'a> {
+    state: &'a ForwardState,
+    route: &'a Route,
+    request: &'a CallerRequest,
+    accepted: Instant,
+    is_answered: bool,
+}
+
+impl Drop for CutWatch<'_> {
+    fn drop(&mut self) {
+        if !self.is_answered && self.state.departure.is_leaving() {
+            self.state.log.write(DecisionEvent::RequestCut, || {
+                json!({
+                    "request": self.request.request_id.to_str().unwrap_or(""),
+                    "route": self.route.name,
+                    "elapsed_ms": self.accepted.elapsed().as_millis() as u64,
+                })
+            });
+        }
+    }
+}
+
 /// Counts a request of another VM until dropped.
 struct RelayedInFlight<'a>(&'a ForwardState);
 
@@ -169,9 +192,6 @@
         let outcome = RequestOutcome::NotServing { detail: detail.to_owned() };
         respond(state, outcome, None, origin)
     };
-    if state.refuses_requests.load(Ordering::Acquire) {
-        return not_serving("this VM is leaving");
-    }
     let Some(table) = state.routes.borrow().clone() else {
         return not_serving("this VM has no configuration yet");
     };
@@ -190,7 +210,15 @@
         Ok(request) => Arc::new(request),
         Err(response) => return *response,
     };
+    // The request has been read by now: closing a connection that holds unread bytes resets it, and
+    // the caller may lose the refusal.
+    if state.departure.refuses_all() {
+        return not_serving("this VM is leaving");
+    }
+    let mut cut =
+        CutWatch { state, route: &route, request: &request, accepted, is_answered: false };
     let (outcome, trace) = run_request(state, &route, Arc::clone(&request), accepted, origin).await;
+    cut.is_answered = true;
     log_outcome(state, &route, &request, &outcome, &trace, accepted.elapsed());
     respond(state, outcome, Some(&route), origin)
 }
@@ -226,6 +254,10 @@
         header_text(&request.headers, &names.remaining_ms).and_then(|value| value.parse().ok());
     let remaining = remaining_ms.map(Duration::from_millis);
     let deadline = answer_deadline(accepted, route, remaining);
+    if !state.departure.takes(route.kind, deadline) {
+        let detail = "this VM is leaving and may stop before the request ends".to_owned();
+        return (RequestOutcome::NotServing { detail }, RequestTrace::default());
+    }
     let started = caller_started(accepted, route, remaining);
     let (services, shards) = {
         let mut decisions = state.decisions();
--- a/crates/papayastack/src/forward/mod.rs
+++ b/crates/papayastack/src/forward/mod.rs
@@ -27,6 +27,7 @@
 //! | `through_owner` | attempts that an owner of the upstream sends for a VM without a free connection |
 //! | `notices` | receipt of other VMs' notices |
 //! | `silence` | notices between VMs about upstreams that do not answer |
+//! | `departure` | which requests a VM that leaves still takes, and when all are answered |
 //! | `state` | the state that all requests of one VM share |
 //! | `gateway` | start and stop of one forwarding VM |
 //! | `settings` | the settings of one forwarding VM |
@@ -34,6 +35,7 @@
 //! | `interface` | what the platform integration provides: header names, formats, store access |
 
 mod attempt;
+mod departure;
 mod exchange;
 mod feeds;
 mod following;
--- a/crates/papayastack/src/forward/relay.rs
+++ b/crates/papayastack/src/forward/relay.rs
@@ -246,8 +246,14 @@
         while tried.len() < PEERS_TRIED_MAX && Instant::now() < self.deadline {
             let Some(peer) = self.choose(&tried) else { break };
             tried.push(peer);
-            let sent = tokio::time::timeout_at(self.deadline.into(), self.send(peer)).await;
-            match sent.unwrap_or(Err(RelayFailure::MayHaveRun)) {
+            let sent = tokio::select! {
+                sent = self.send(peer) => sent,
+                () = tokio::time::sleep_until(self.deadline.into()) => {
+                    Err(RelayFailure::MayHaveRun)
+                }
+                () = self.state.departure.answers_are_due() => Err(RelayFailure::MayHaveRun),
+            };
+            match sent {
                 Ok(reply) => match reply.outcome {
                     RelayOutcome::Handled => return RequestOutcome::Relayed(reply),
                     RelayOutcome::NotRun => {
--- a/crates/papayastack/src/forward/state.rs
+++ b/crates/papayastack/src/forward/state.rs
@@ -1,7 +1,7 @@
 //! The state that all requests of one forwarding VM share.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::AtomicUsize;
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 use std::time::{Duration, Instant};
 
@@ -12,6 +12,7 @@
 use tokio::sync::{Notify, watch};
 
 use super::attempt::{parse_limit, refusal_duration};
+use super::departure::Departure;
 use super::interface::{Change, IngressFormat, NamedEntry, StorePosition};
 use super::links::{LinkChange, LinkSign, UpstreamLinks};
 use super::metrics::ForwardMetrics;
@@ -70,10 +71,7 @@
     /// Notified when a reader does not know all changes since this VM's position.
     pub(crate) feed_gone: Notify,
     pub(crate) drain_requested: watch::Sender<bool>,
-    /// Set when the VM begins to leave: it is no longer ready, but still serves requests.
-    pub(crate) leaving: AtomicBool,
-    /// Set later than `leaving`: from then on, new requests are refused.
-    pub(crate) refuses_requests: AtomicBool,
+    pub(crate) departure: Departure,
     pub(crate) log: Arc<DecisionLog>,
     /// The connections to other VMs that serve requests for this one.
     pub(crate) peer_pool: ConnectionPool,
@@ -125,8 +123,7 @@
             feed_followed: Notify::new(),
             feed_gone: Notify::new(),
             drain_requested: watch::Sender::new(false),
-            leaving: AtomicBool::new(false),
-            refuses_requests: AtomicBool::new(false),
+            departure: Departure::new(),
             log,
             peer_pool: ConnectionPool::open(),
             unfinished_bodies: UnfinishedBodies::default(),
@@ -400,12 +397,12 @@
     /// Tells whether this VM refuses requests, or has lost its links, so that it sends none for other
     /// VMs.
     pub(crate) fn cannot_serve_others(&self) -> bool {
-        self.refuses_requests.load(Ordering::Acquire) || self.links().are_lost()
+        self.departure.refuses_all() || self.links().are_lost()
     }
 
     /// Tells whether this VM should get callers' requests.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.leaving.load(Ordering::Acquire)
+        !self.departure.is_leaving()
             && self.routes.borrow().is_some()
             && self.upstreams.borrow().is_some()
     }
--- a/crates/papayastack/src/forward/through_owner.rs
+++ b/crates/papayastack/src/forward/through_owner.rs
@@ -18,6 +18,7 @@
     Attempt, AttemptEnd, CallerRequest, UpstreamReply, end_to_end_headers, end_without_reply,
     parse_load,
 };
+use super::exchange::STOPPED_DETAIL;
 use super::owners::UpstreamAccess;
 use super::relay::{CONNECTIONS_PER_PEER, InFlight};
 use super::response::header_text;
@@ -256,9 +257,9 @@
     // Upstreams would see this VM act on a version that it has not reached yet, or has left.
     let host = header_text(&request.headers, &header::HOST).unwrap_or("");
     let route = table.find(host, request.uri.path());
-    if !route.is_some_and(|route| route.target.names(&target.service)) {
+    let Some(route) = route.filter(|route| route.target.names(&target.service)) else {
         return OwnerOutcome::NotServing.response("no route of this VM allows the attempt");
-    }
+    };
     let access = state.upstream_access(target, table.document());
     if access.connections_max == 0 {
         return OwnerOutcome::NotServing.response("this VM does not own the upstream");
@@ -267,27 +268,39 @@
         .and_then(|text| text.parse().ok())
         .map_or(ATTEMPT_TIME_MAX, Duration::from_millis);
     let now = Instant::now();
+    let deadline = now + remaining.min(ATTEMPT_TIME_MAX);
+    if !state.departure.takes(route.kind, deadline) {
+        return OwnerOutcome::NotServing.response("this VM is leaving");
+    }
     let attempt = Attempt {
         state,
         request: &request,
         target,
         access: &UpstreamAccess { owners: Vec::new(), ..access },
-        deadline: now + remaining.min(ATTEMPT_TIME_MAX),
+        deadline,
         // The VM that asks has taken the room of the attempt where the upstream names a limit.
         class: QueryClass::Sweep,
         chosen_at: now,
         sent: &AtomicBool::new(false),
     };
-    let replied = tokio::time::timeout_at(attempt.deadline.into(), attempt.direct_reply()).await;
+    let replied = tokio::select! {
+        replied = attempt.direct_reply() => replied,
+        () = tokio::time::sleep_until(deadline.into()) => {
+            return OwnerOutcome::Late.response("no reply before the deadline");
+        }
+        () = state.departure.answers_are_due() => {
+            return OwnerOutcome::AnswerLost.response(STOPPED_DETAIL);
+        }
+    };
     match replied {
-        Ok(Ok(Ok(reply))) => reply_response(reply),
-        Ok(Ok(Err(end))) => match end.outcome {
+        Ok(Ok(reply)) => reply_response(reply),
+        Ok(Err(end)) => match end.outcome {
             AttemptOutcome::Failed(FailureReason::Malformed) => {
                 OwnerOutcome::Malformed.response(&end.detail)
             }
             _ => OwnerOutcome::AnswerLost.response(&end.detail),
         },
-        Ok(Err(error)) => match error {
+        Err(error) => match error {
             ExchangeError::NotConnected { detail } => OwnerOutcome::NotConnected.response(&detail),
             ExchangeError::NoConnectionFree => {
                 OwnerOutcome::NoConnectionFree.response("all connections are in use")
@@ -297,7 +310,6 @@
             }
             ExchangeError::AnswerLost { detail } => OwnerOutcome::AnswerLost.response(&detail),
         },
-        Err(_elapsed) => OwnerOutcome::Late.response("no reply before the deadline"),
     }
 }
 
--- a/crates/papayastack/src/observe/decisions.rs
+++ b/crates/papayastack/src/observe/decisions.rs
@@ -82,13 +82,15 @@
     RequestRefused,
     /// A request failed; it may have run.
     RequestFailed,
+    /// A request ended without an answer while this VM was leaving.
+    RequestCut,
     /// An attempt at an upstream gave no answer.
     AttemptFailed,
 }
 
 impl DecisionEvent {
     /// All kinds.
-    pub const ALL: [Self; 28] = [
+    pub const ALL: [Self; 29] = [
         Self::Started,
         Self::Stopping,
         Self::Stopped,
@@ -116,6 +118,7 @@
         Self::RequestPartial,
         Self::RequestRefused,
         Self::RequestFailed,
+        Self::RequestCut,
         Self::AttemptFailed,
     ];
 
