Pass on no status that promises too much

What callers saw: an upstream ran a request that must not be repeated and failed with 503; the caller got that 503, which promises that nothing ran, and sent the request again.

Cause: a reply that was known not to prove "not run" was kept as the request's failure and passed on with its status. A sealed 429 or 408 was passed on as an answer.

Change: a reply with status 408, 429 or 503 that does not say that the request did not run counts as a failed attempt and is not kept; the caller gets 502 if no other attempt answers. A VM that lets another one serve does the same with its answer, since an earlier build may still pass such a status on.

--- a/crates/papayastack/src/forward/attempt.rs
+++ b/crates/papayastack/src/forward/attempt.rs
@@ -13,6 +13,7 @@
 use super::owners::UpstreamAccess;
 use super::registry::UpstreamTarget;
 use super::relay::ATTEMPTS_HEADER;
+use super::response::promises_not_run;
 use super::state::ForwardState;
 use super::through_owner::UPSTREAM_HEADER;
 use crate::query::{AttemptOutcome, FailureReason, MilliPerSecond, NotRunReason, UpstreamLoad};
@@ -233,8 +234,14 @@
             status.as_u16()
         ));
     }
+    let failed = AttemptOutcome::Failed(FailureReason::UpstreamFailed);
+    if promises_not_run(status) {
+        // The upstream may have run the request, so its status would make a promise that it does not
+        // keep; the reply is not passed on.
+        let detail = format!("status {}, without saying that it did not run", status.as_u16());
+        return AttemptEnd::new(failed, detail);
+    }
     if status.is_server_error() {
-        let failed = AttemptOutcome::Failed(FailureReason::UpstreamFailed);
         let detail = format!("status {}", status.as_u16());
         return AttemptEnd { failure: Some(reply), ..AttemptEnd::new(failed, detail) };
     }
--- a/crates/papayastack/src/forward/relay.rs
+++ b/crates/papayastack/src/forward/relay.rs
@@ -15,7 +15,7 @@
 use serde_json::json;
 
 use super::attempt::{CallerRequest, end_to_end_headers};
-use super::response::{RETRY_AFTER, RequestOutcome};
+use super::response::{RETRY_AFTER, RequestOutcome, promises_not_run};
 use super::state::ForwardState;
 use super::through_owner::UPSTREAM_HEADER;
 use crate::cbor;
@@ -255,6 +255,11 @@
             };
             match sent {
                 Ok(reply) => match reply.outcome {
+                    // An earlier build passes on an upstream's status that promises too much.
+                    RelayOutcome::Handled if promises_not_run(reply.status) => {
+                        may_have_run = true;
+                        break;
+                    }
                     RelayOutcome::Handled => return RequestOutcome::Relayed(reply),
                     RelayOutcome::NotRun => {
                         refusal = Some(reply);
--- a/crates/papayastack/src/forward/response.rs
+++ b/crates/papayastack/src/forward/response.rs
@@ -193,6 +193,17 @@
     HeaderValue::from_str(&joined).unwrap_or_else(|_| HeaderValue::from_static(""))
 }
 
+/// Tells whether a status promises the caller that its request has not run and never will.
+pub(crate) fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// Returns the value of a header if it is visible ASCII.
 pub(crate) fn header_text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
