Merge no upstream's failure into an answer of shards

What callers saw: a 200 of several shards with an upstream's error text among the records, its seal among the parts, and no shard named as missing, where one upstream of a shard answered 404.

Cause: every sealed reply below 500 counted as an answer. A single service's client errors are passed on so; a shard's were merged.

Change: an attempt knows whether its reply is to be merged; if so, only a success counts as an answer, and any other status as a failed attempt, which is retried on another replica.

--- a/crates/papayastack/src/forward/attempt.rs
+++ b/crates/papayastack/src/forward/attempt.rs
@@ -82,6 +82,8 @@
     pub(crate) class: QueryClass,
     /// When the target was chosen.
     pub(crate) chosen_at: Instant,
+    /// Whether the reply is to be merged with those of other shards.
+    pub(crate) is_part: bool,
     /// Set once the request may have been sent to an upstream.
     pub(crate) sent: &'a AtomicBool,
 }
@@ -105,7 +107,7 @@
         match self.reply().await {
             Ok(reply) => {
                 let names = self.state.format.headers();
-                AttemptEnd { load: reply.load, ..classify_reply(names, reply) }
+                AttemptEnd { load: reply.load, ..classify_reply(names, reply, self.is_part) }
             }
             Err(end) => end,
         }
@@ -213,7 +215,7 @@
 }
 
 /// Classifies a complete reply: answered, failed, provably not run, or malformed.
-fn classify_reply(names: &HeaderNames, reply: UpstreamReply) -> AttemptEnd {
+fn classify_reply(names: &HeaderNames, reply: UpstreamReply, is_part: bool) -> AttemptEnd {
     let status = reply.status;
     if !reply.headers.contains_key(&names.request_id) {
         // Proves nothing: it may be a late answer to an earlier request on the connection.
@@ -245,6 +247,11 @@
         let detail = format!("status {}", status.as_u16());
         return AttemptEnd { failure: Some(reply), ..AttemptEnd::new(failed, detail) };
     }
+    if is_part && !status.is_success() {
+        // The caller of a single service gets such a reply as it is; among records it cannot be told
+        // from them.
+        return AttemptEnd::new(failed, format!("status {}, no part", status.as_u16()));
+    }
     AttemptEnd::new(AttemptOutcome::Answered(reply), "")
 }
 
--- a/crates/papayastack/src/forward/exchange.rs
+++ b/crates/papayastack/src/forward/exchange.rs
@@ -13,7 +13,7 @@
 use super::attempt::{Attempt, AttemptEnd, CallerRequest, UpstreamReply};
 use super::links::LinkSign;
 use super::registry::UpstreamSet;
-use super::route::{PinnedRoute, RequestKind};
+use super::route::{PinnedRoute, RequestKind, RouteTarget};
 use super::state::ForwardState;
 use crate::ids::{AttemptId, ServiceName, UpstreamId};
 use crate::observe::DecisionEvent;
@@ -289,6 +289,7 @@
         let request = Arc::clone(&self.task.request);
         let sent = Arc::clone(&self.sent);
         let (deadline, class, chosen_at) = (self.deadline, self.task.class, Instant::now());
+        let is_part = matches!(self.task.route.target, RouteTarget::Shards(_));
         self.run_attempt(Box::pin(async move {
             let attempt = Attempt {
                 state: &state,
@@ -298,6 +299,7 @@
                 deadline,
                 class,
                 chosen_at,
+                is_part,
                 sent: &sent,
             };
             (id, upstream, attempt.run().await)
--- a/crates/papayastack/src/forward/through_owner.rs
+++ b/crates/papayastack/src/forward/through_owner.rs
@@ -281,6 +281,8 @@
         // The VM that asks has taken the room of the attempt where the upstream names a limit.
         class: QueryClass::Sweep,
         chosen_at: now,
+        // The VM that asks judges the reply.
+        is_part: false,
         sent: &AtomicBool::new(false),
     };
     let replied = tokio::select! {
