Count a request until its answer is sent

Cause: `HttpServer` counted a request until its response was made. Once all were made, `shutdown` waited 250 ms and dropped the connections with what was buffered for them.

Change: a stream whose last write waits for its peer counts as in flight, so that a VM that leaves stays until its callers have taken their answers, within the grace period.

--- a/crates/papayastack/src/listen/mod.rs
+++ b/crates/papayastack/src/listen/mod.rs
@@ -3,6 +3,7 @@
 mod server;
 #[cfg(test)]
 mod tests;
+mod unsent;
 
 pub use server::BindError;
 pub(crate) use server::{HeadTimeout, HttpServer};
--- a/crates/papayastack/src/listen/server.rs
+++ b/crates/papayastack/src/listen/server.rs
@@ -15,10 +15,12 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::service::TowerToHyperService;
 use papayastack_macros::value;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::sync::{Semaphore, watch};
 use tokio::task::{JoinHandle, JoinSet};
 
+use super::unsent::CountedStream;
+
 /// The most connections that one server keeps open at a time; further ones are closed at once.
 const CONNECTIONS_MAX: usize = 8_192;
 /// The default time that a connection may take to send a request head, or stay idle.
@@ -90,7 +92,9 @@
             count_request(Arc::clone(&counted), request, next)
         }));
         let (stop, stopped) = watch::channel(false);
-        let task = tokio::spawn(accept_connections(listener, router, head_timeout, stopped));
+        let unsent = Arc::clone(&state.unsent);
+        let task =
+            tokio::spawn(accept_connections(listener, router, head_timeout, unsent, stopped));
         Ok(Self { address, state, stop, task })
     }
 
@@ -99,8 +103,10 @@
         self.address
     }
 
+    /// Returns the number of requests that are not answered yet, or whose caller has not taken the
+    /// whole answer.
     pub(crate) fn in_flight(&self) -> usize {
-        self.state.in_flight.load(Ordering::Acquire)
+        self.state.in_flight.load(Ordering::Acquire) + self.state.unsent.load(Ordering::Acquire)
     }
 
     /// Closes each connection after its next response.
@@ -131,6 +137,8 @@
 #[derive(Debug, Default)]
 struct ServerState {
     in_flight: AtomicUsize,
+    /// The connections with a part of an answer that the caller has not taken.
+    unsent: Arc<AtomicUsize>,
     retired: AtomicBool,
 }
 
@@ -165,6 +173,7 @@
     listener: TcpListener,
     router: Router,
     head_timeout: HeadTimeout,
+    unsent: Arc<AtomicUsize>,
     mut stopped: watch::Receiver<bool>,
 ) {
     let permits = Arc::new(Semaphore::new(CONNECTIONS_MAX));
@@ -190,6 +199,10 @@
             );
             continue;
         };
+        if let Err(error) = stream.set_nodelay(true) {
+            log::debug!(target: "papaya::listen", "listen: Cannot set TCP_NODELAY: {error}.");
+        }
+        let stream = CountedStream::new(stream, Arc::clone(&unsent));
         let connection = serve_connection(stream, router.clone(), head_timeout(), stopped.clone());
         connections.spawn(async move {
             connection.await;
@@ -201,14 +214,11 @@
 }
 
 async fn serve_connection(
-    stream: TcpStream,
+    stream: CountedStream,
     router: Router,
     head_timeout: Duration,
     mut stopped: watch::Receiver<bool>,
 ) {
-    if let Err(error) = stream.set_nodelay(true) {
-        log::debug!(target: "papaya::listen", "listen: Cannot set TCP_NODELAY: {error}.");
-    }
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(head_timeout)
