Take no second answer for the end of the first

What callers saw: where an upstream answers without a length and sends the answer again before it closes, a 200 whose body holds the head of the second answer and its body. The users report answers that were not whole from upstreams that answer twice; whether they saw this is not known.

Cause: a body without a length ends with its connection, and only the first head is checked for the request's id.

Change: a body without a length that holds a status line, or ends within one, makes the reply malformed.

--- a/crates/papayastack/src/forward/attempt.rs
+++ b/crates/papayastack/src/forward/attempt.rs
@@ -13,6 +13,7 @@
 use super::owners::UpstreamAccess;
 use super::registry::UpstreamTarget;
 use super::relay::{ATTEMPTS_HEADER, ROUTES_VERSION_HEADER};
+use super::reply_body::holds_status_line;
 use super::response::promises_not_run;
 use super::state::ForwardState;
 use super::through_owner::UPSTREAM_HEADER;
@@ -173,6 +174,11 @@
                 return Ok(Err(AttemptEnd::new(lost, detail)));
             }
         };
+        let has_length = head.headers.contains_key(header::CONTENT_LENGTH)
+            || head.headers.contains_key(header::TRANSFER_ENCODING);
+        if !has_length && holds_status_line(&body) {
+            return Ok(Err(malformed("the reply has no length, and another reply follows it")));
+        }
         if state.is_current(target) {
             lease.release(&head.headers);
         }
--- a/crates/papayastack/src/forward/reply_body.rs
+++ b/crates/papayastack/src/forward/reply_body.rs
@@ -13,6 +13,11 @@
 /// since upstreams in trouble may send bytes without end.
 const UNFINISHED_BODIES_MAX_BYTES: usize = 64 * 1024 * 1024;
 
+/// The beginning of a status line; each zero stands for any digit.
+const STATUS_LINE: &[u8] = b"HTTP/1.0 000";
+/// As much of it as tells a status line that is cut off from other bytes.
+const STATUS_LINE_START: &[u8] = b"HTTP/";
+
 /// Counts the bytes of the bodies that are being read.
 #[derive(Debug, Default)]
 pub(crate) struct UnfinishedBodies {
@@ -49,6 +54,22 @@
     }
 }
 
+/// Tells whether a body holds the status line of a reply, or ends within one.
+///
+/// A body without a length goes on until its connection ends. If the upstream sends another reply
+/// before that, only this tells where the body should have ended.
+pub(crate) fn holds_status_line(body: &[u8]) -> bool {
+    let begins = |start: &[u8]| {
+        start.starts_with(STATUS_LINE_START)
+            && start.iter().zip(STATUS_LINE).all(|(byte, expected)| match expected {
+                b'0' => byte.is_ascii_digit(),
+                _ => byte == expected,
+            })
+    };
+    let first = STATUS_LINE_START[0];
+    body.iter().enumerate().any(|(at, byte)| *byte == first && begins(&body[at..]))
+}
+
 /// The bytes of one body, until dropped.
 struct Share<'a> {
     bodies: &'a UnfinishedBodies,
--- a/crates/papayastack/src/forward/tests/reply_body.rs
+++ b/crates/papayastack/src/forward/tests/reply_body.rs
@@ -9,7 +9,7 @@
 use http_body_util::Full;
 use hyper::body::{Body, Frame};
 
-use crate::forward::reply_body::{REPLY_BODY_MAX_BYTES, UnfinishedBodies};
+use crate::forward::reply_body::{REPLY_BODY_MAX_BYTES, UnfinishedBodies, holds_status_line};
 
 const CHUNK_BYTES: usize = 256 * 1024;
 
@@ -63,3 +63,19 @@
     let whole = bodies.read(Full::new(Bytes::from_static(b"part"))).await;
     assert_eq!(whole.as_deref(), Ok(&b"part"[..]));
 }
+
+#[test]
+fn a_status_line_in_a_body_is_found_wherever_it_begins_or_ends() {
+    for body in [
+        &b"HTTP/1.1 200 OK\r\n"[..],
+        b"recordsHTTP/1.1 503 Full",
+        b"records\r\nHTTP/1.0 4",
+        b"HTTP/",
+    ] {
+        assert!(holds_status_line(body), "{body:?}");
+    }
+    for body in [&b""[..], b"records", b"HTTP", b"http/1.1 200", b"HTTP/2 200 of", b"HTTP/1.x 200"]
+    {
+        assert!(!holds_status_line(body), "{body:?}");
+    }
+}
