Test second answers and stops under load with real processes

This plays both: upstreams that answer twice, whole or broken off, with and without a length, and that need 2 to 4 s for some requests; callers on kept connections; VMs that are stopped and started in turn, with and without enough connections for each.

--- a/crates/papayastack-daemon/tests/gateway/main.rs
+++ b/crates/papayastack-daemon/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod lost_links;
 mod readers;
 mod soak;
+mod stutter;
 mod support;
 mod through_owner;
 
