Let a VM catch up whenever its readers cannot tell it all

What was seen: the two flaky tests of readers in KNOWN-RED.txt; one VM of five read the store for itself where a reader should.

Cause: a reader that does not know all changes since a VM's position answers `gone`, and the VM then asks the store for its present position. It heeded that before its own first watch only; later, a watch of 30 s on a settled store kept the old position.

Evidence: the log line `feed_refused`, new here, in a failed play: `gone` at revision 3, 1 ms after all members were known, and no line of a feed after it.

Change: `gone` ends a watch that waits, and the next one does not wait.

--- a/crates/papayastack/src/forward/feeds.rs
+++ b/crates/papayastack/src/forward/feeds.rs
@@ -235,6 +235,11 @@
         let outcome = tokio::select! {
             outcome = store.watch_upstreams(after, wait) => outcome,
             () = state.store_health.watch_is_doubtful(started, wait) => continue,
+            // A settled store would leave the position, and with it the readers' answer, as it is.
+            () = state.feed_gone.notified(), if !wait.is_zero() => {
+                catches_up = true;
+                continue;
+            }
             () = wait_for_later_era(&mut eras, listed.era) => return RelistReason::StoreReset,
             () = sleep_until_some(recheck_at) => return RelistReason::OlderEntries,
         };
--- a/crates/papayastack/src/forward/following.rs
+++ b/crates/papayastack/src/forward/following.rs
@@ -126,6 +126,8 @@
     let mut role = state.feed_role.subscribe();
     let mut troubled_until: BTreeMap<VmAddress, Instant> = BTreeMap::new();
     let mut follows: Option<VmAddress> = None;
+    // The reader that gave no changes last, and why.
+    let mut refused: Option<(VmAddress, &'static str)> = None;
     loop {
         let current = role.borrow_and_update().clone();
         troubled_until.retain(|reader, until| current.readers.contains(reader) && *until > now());
@@ -140,10 +142,20 @@
         };
         let asked = timeout(QUESTION_WAIT + ANSWER_TIMEOUT, peers.ask(reader, question)).await;
         let reply = asked.ok().flatten().filter(|reply| reply.number == question.number);
+        let refusal =
+            reply.as_ref().map_or(Some("silent"), |reply| reply.answer.refusal(question.era));
+        if let Some(reason) = refusal
+            && refused.replace((reader, reason)) != Some((reader, reason))
+        {
+            let fields =
+                || json!({ "reader": reader, "reason": reason, "revision": question.revision });
+            state.log.write(DecisionEvent::FeedRefused, fields);
+        }
         let hold = match reply.map(|reply| reply.answer) {
             Some(FeedAnswer::Changes(changes)) if changes.position.era == question.era => {
                 apply(&state, *changes);
                 state.covered_until.send_replace(Some(now() + COVERED_FOR));
+                refused = None;
                 if follows.replace(reader) != Some(reader) {
                     state.log.write(DecisionEvent::FeedFollowed, || json!({ "reader": reader }));
                 }
--- a/crates/papayastack/src/forward/peer_feed.rs
+++ b/crates/papayastack/src/forward/peer_feed.rs
@@ -122,6 +122,18 @@
     NotReading,
 }
 
+impl FeedAnswer {
+    /// Returns why the answer tells nothing to a VM that knows the store in `era`, as a name for the
+    /// log; `None` if it does.
+    pub(crate) fn refusal(&self, era: StoreEra) -> Option<&'static str> {
+        match self {
+            Self::Changes(changes) => (changes.position.era != era).then_some("other_era"),
+            Self::Gone => Some("gone"),
+            Self::NotReading => Some("not_reading"),
+        }
+    }
+}
+
 /// What has changed up to a position of the store.
 #[message]
 pub(crate) struct FeedChanges {
--- a/crates/papayastack/src/observe/decisions.rs
+++ b/crates/papayastack/src/observe/decisions.rs
@@ -70,6 +70,8 @@
     FeedFollowed,
     /// No other VM reads the store for this one any more.
     FeedUnfollowed,
+    /// A VM that reads the store did not tell this one what has changed.
+    FeedRefused,
     /// The set of live VMs or of reachable regions, as this VM sees it, has changed.
     MembersChanged,
     /// A request got a complete answer within its latency goal.
@@ -90,7 +92,7 @@
 
 impl DecisionEvent {
     /// All kinds.
-    pub const ALL: [Self; 29] = [
+    pub const ALL: [Self; 30] = [
         Self::Started,
         Self::Stopping,
         Self::Stopped,
@@ -112,6 +114,7 @@
         Self::FeedRelisted,
         Self::FeedFollowed,
         Self::FeedUnfollowed,
+        Self::FeedRefused,
         Self::MembersChanged,
         Self::RequestServed,
         Self::RequestLate,
