Limit how long unsent answers delay a shutdown

What would have been seen: a process that never ends, since a caller does not take its answer.

Change: once all requests are answered, callers have 5 s to take the answers.

--- a/crates/papayastack/src/listen/server.rs
+++ b/crates/papayastack/src/listen/server.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use axum::Router;
 use axum::extract::Request;
@@ -29,6 +29,8 @@
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(50);
 /// How long connections without a request may delay a shutdown.
 const IDLE_CONNECTIONS_GRACE: Duration = Duration::from_millis(250);
+/// How long callers that do not take their answers may delay a shutdown.
+const UNSENT_ANSWERS_GRACE: Duration = Duration::from_secs(5);
 
 /// The error when a server cannot listen on its address.
 #[value]
@@ -114,13 +116,19 @@
         self.state.retired.store(true, Ordering::Release);
     }
 
-    /// Stops accepting connections and returns once every request in flight is answered.
+    /// Stops accepting connections and returns once every request in flight is answered, and its
+    /// caller has taken the answer or had [`UNSENT_ANSWERS_GRACE`] for it.
     pub(crate) async fn shutdown(mut self) {
         self.retire();
         self.stop.send_replace(true);
+        let mut answered_at = None;
         loop {
             let ended = tokio::time::timeout(IDLE_CONNECTIONS_GRACE, &mut self.task).await.is_ok();
-            if ended || self.in_flight() == 0 {
+            if self.state.in_flight.load(Ordering::Acquire) == 0 {
+                answered_at.get_or_insert_with(Instant::now);
+            }
+            let waited = answered_at.map(|at| at.elapsed() >= UNSENT_ANSWERS_GRACE);
+            if ended || self.in_flight() == 0 || waited == Some(true) {
                 return;
             }
         }
--- a/crates/papayastack/src/listen/tests.rs
+++ b/crates/papayastack/src/listen/tests.rs
@@ -69,3 +69,21 @@
     assert!(reply.ends_with("answer"));
     assert_eq!(started.elapsed().as_secs(), 90);
 }
+
+// Guards against a process that never ends, since a caller does not take its answer.
+#[tokio::test]
+async fn a_caller_that_takes_no_answer_delays_a_shutdown_for_a_limited_time() {
+    // More than the buffers of both sockets hold.
+    let router = Router::new().route("/", get(|| async { vec![7_u8; 16_000_000] }));
+    let server = HttpServer::bind("127.0.0.1:0".parse().unwrap(), router).await.unwrap();
+    let mut caller = TcpStream::connect(server.address()).await.unwrap();
+    caller.write_all(b"GET / HTTP/1.1\r\nhost: vm\r\n\r\n").await.unwrap();
+    caller.readable().await.unwrap();
+    while server.in_flight() == 0 {
+        tokio::task::yield_now().await;
+    }
+
+    let shut_down = tokio::time::timeout(Duration::from_secs(8), server.shutdown()).await;
+
+    assert!(shut_down.is_ok(), "the shutdown waits for a caller that reads nothing");
+}
