Deliver a relayed answer that is ready when its time is over

The waits for another VM and for an owner's attempt, which also end when the VM stops, chose at random between an answer that is there and the time-out; before, the answer went first. It does again. Read in the diff; nothing was seen.

--- a/crates/papayastack/src/forward/relay.rs
+++ b/crates/papayastack/src/forward/relay.rs
@@ -270,6 +270,7 @@
             let Some(peer) = self.choose(&tried) else { break };
             tried.push(peer);
             let sent = tokio::select! {
+                biased;
                 sent = self.send(peer) => sent,
                 () = tokio::time::sleep_until(self.deadline.into()) => {
                     Err(RelayFailure::MayHaveRun)
--- a/crates/papayastack/src/forward/through_owner.rs
+++ b/crates/papayastack/src/forward/through_owner.rs
@@ -286,6 +286,7 @@
         sent: &AtomicBool::new(false),
     };
     let replied = tokio::select! {
+        biased;
         replied = attempt.direct_reply() => replied,
         () = tokio::time::sleep_until(deadline.into()) => {
             return OwnerOutcome::Late.response("no reply before the deadline");
