Test what VMs of two builds say of the routes' version

A relayed request without a version, as an earlier build sends it, is served as before and gets no header back; one with the version of the VM is served and told it; one with a later version, or with the host that only a later build reads, is refused as `not_serving`. The earlier build's side of the last one is its route look-up, which has not changed. Passes; no change of the product.

--- a/crates/papayastack-daemon/tests/gateway/lost_links.rs
+++ b/crates/papayastack-daemon/tests/gateway/lost_links.rs
@@ -395,6 +395,46 @@
     assert_eq!(attempts.load(Ordering::Acquire) - before, 1);
 }
 
+/// Sends a request as another VM does, with further headers; returns the head of the response.
+async fn relay(vm: &GatewayProcess, host: &str, headers: &str) -> String {
+    let request = format!(
+        "GET /read/x HTTP/1.1\r\nhost: {host}\r\n{}: the-id\r\n{headers}connection: close\r\n\r\n",
+        PlatformIngress::new().headers().request_id
+    );
+    let mut stream = TcpStream::connect(vm.link_address).await.expect("the VM listens");
+    stream.write_all(request.as_bytes()).await.expect("the VM reads");
+    read_head(&mut stream).await.expect("the VM responds")
+}
+
+// Guards against builds that misread each other: one that names no version is served as before and
+// gets no header that it would pass on, and one that is named a later version refuses.
+#[tokio::test]
+async fn a_relayed_request_is_served_by_the_version_that_it_names_if_any() {
+    let upstream = Upstream::bind(Duration::ZERO).await;
+    let store = start_store(Some(&upstream)).await;
+    let vm = GatewayProcess::start(store.address()).await;
+    vm.wait_until_served().await;
+
+    let earlier_build = relay(&vm, "a.example", "").await;
+    let current = relay(&vm, "a.example", "papaya-relay-routes-version: 5\r\n").await;
+    let hosted = "papaya-relay-routes-version: 5\r\npapaya-attempt-host: a.example\r\n";
+    let hosted = relay(&vm, "relay.papaya", hosted).await;
+    let later = relay(&vm, "a.example", "papaya-relay-routes-version: 6\r\n").await;
+    // What an earlier build does with a request for a VM that may be behind.
+    let unknown_host = relay(&vm, "relay.papaya", "").await;
+
+    assert!(earlier_build.starts_with("HTTP/1.1 200"), "{earlier_build}");
+    assert!(!earlier_build.contains("papaya-relay-routes-version"), "{earlier_build}");
+    for served in [current, hosted] {
+        assert!(served.starts_with("HTTP/1.1 200"), "{served}");
+        assert!(served.contains("papaya-relay-routes-version: 5"), "{served}");
+    }
+    for refused in [later, unknown_host] {
+        assert!(refused.starts_with("HTTP/1.1 503"), "{refused}");
+        assert!(refused.contains("papaya-relay-outcome: not_serving"), "{refused}");
+    }
+}
+
 /// Counts each request and closes its connection without a reply.
 async fn close_after_head(listener: TcpListener, attempts: Arc<AtomicUsize>) {
     while let Ok((mut stream, _)) = listener.accept().await {
