Let the soak's upstreams fail with any status, and leave odd entries

Upstreams now fail some requests with 503, 500, 429 and 408, sealed, and another writer leaves an entry that is 200 arrays deep. The new troubles draw nothing from the seed's randomness, so that earlier seeds play what they did before, with these beside it.

--- a/crates/papayastack-daemon/tests/gateway/soak.rs
+++ b/crates/papayastack-daemon/tests/gateway/soak.rs
@@ -1,6 +1,6 @@
 //! A seeded soak: three VMs, their callers and upstreams, while processes are stopped, killed and
-//! frozen, upstreams leave, refuse and name limits, and the store fails and comes back from an older
-//! copy.
+//! frozen, upstreams leave, refuse, fail and name limits, another writer leaves odd entries, and the
+//! store fails and comes back from an older copy.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -44,6 +44,11 @@
 const LIMITED_ARRIVALS_MAX: usize = (LIMIT_PER_S * 4.0 * 1.5) as usize + 5;
 /// How long after a VM got an answer with the limit its requests count.
 const LIMIT_SLACK: Duration = Duration::from_millis(500);
+/// How long an upstream fails every other request, and the statuses that it then takes in turn.
+const FAILS_FOR: Duration = Duration::from_millis(1_500);
+const FAILURE_STATUSES: [u16; 4] = [503, 500, 429, 408];
+/// The arrays around each other in an odd entry; more than a parser may take.
+const ODD_ENTRY_DEPTH: usize = 200;
 const TROUBLE: Duration = Duration::from_secs(14);
 const CALM: Duration = Duration::from_secs(10);
 
@@ -67,6 +72,9 @@
     heard_by: BTreeMap<usize, Instant>,
     /// When each VM was refused first, and the requests that came too late after that.
     refused: BTreeMap<usize, (Instant, u32)>,
+    fails_until: Option<Instant>,
+    /// The requests that came while it fails.
+    while_failing: usize,
     limited_since: Option<Instant>,
     /// When each VM got an answer with the limit first.
     told_limit: BTreeMap<usize, Instant>,
@@ -181,6 +189,15 @@
                  retry-after: {seconds:.3}\r\ncontent-length: 0\r\n\r\n"
             );
         }
+        if state.fails_until.is_some_and(|until| until > now) {
+            state.while_failing += 1;
+            if state.while_failing.is_multiple_of(2) {
+                let status = FAILURE_STATUSES[state.while_failing / 2 % FAILURE_STATUSES.len()];
+                return format!(
+                    "HTTP/1.1 {status} Failed\r\n{common}{seal}: seal\r\ncontent-length: 0\r\n\r\n"
+                );
+            }
+        }
         let leaving = if state.leaving_since.is_some() && state.names_leaving {
             state.heard_by.entry(vm).or_insert(now);
             format!("{leaving_name}: 1\r\n")
@@ -256,6 +273,17 @@
         }
     }
 
+    /// Writes an entry of another writer, or removes it.
+    fn toggle_odd_entry(&self, written: &mut bool) {
+        let name = ObjectName::new("servers", "odd");
+        if std::mem::replace(written, !*written) {
+            self.store.remove_object(&name);
+            return;
+        }
+        let nested = (0..ODD_ENTRY_DEPTH).fold(json!(1), |inner, _| json!([inner]));
+        self.store.put_object(&name, json!({ "service": nested }));
+    }
+
     fn put_routes(&self, version: u64) {
         let mut routes: serde_json::Value =
             serde_json::from_str(crate::support::CONFIGURATION).expect("fixtures are JSON");
@@ -288,7 +316,7 @@
             while let Some(status) = exchange(&soak, vm, &mut stream, "/read/x").await {
                 match status {
                     200 => *lock(&soak.answered) += 1,
-                    502..=504 => {}
+                    500 | 502..=504 => {}
                     _ => soak.find(format!("VM {vm} answered {status}")),
                 }
             }
@@ -312,6 +340,10 @@
     let length = head.lines().find_map(|line| line.strip_prefix("content-length: "))?;
     let mut body = vec![0; length.trim().parse().ok()?];
     stream.read_exact(&mut body).await.ok()?;
+    let promises = matches!(status, 503 | 429 | 408 | 421);
+    if promises && head.contains(&format!("{}: ", names.headers().seal)) {
+        soak.find(format!("VM {vm} passed on the {status} of an upstream that ran {id}"));
+    }
     if status == 200 && body != id.as_bytes() {
         soak.find(format!("VM {vm} answered {id} with another body"));
     }
@@ -432,6 +464,7 @@
     let trouble_ends = Instant::now() + TROUBLE;
     let calm_ends = trouble_ends + CONTACT + CALM;
     let mut calm = false;
+    let mut odd_entry_written = false;
     while Instant::now() < calm_ends {
         if !calm && Instant::now() > trouble_ends {
             calm = true;
@@ -465,6 +498,12 @@
             }
             5 if !calm => disturb_vm(&soak, &mut processes, &mut random).await,
             6 | 7 if !calm => disturb_store(&soak, &mut random, &mut version),
+            9 => {
+                // Draws nothing, so that earlier seeds play what they did before.
+                soak.toggle_odd_entry(&mut odd_entry_written);
+                let failing = version as usize % UPSTREAMS;
+                lock(&soak.upstreams[failing].1).fails_until = Some(Instant::now() + FAILS_FOR);
+            }
             _ => {}
         }
         tokio::time::sleep(Duration::from_millis(random.random_range(100..400))).await;
