--- a/crates/papayastack-daemon/tests/gateway/stutter.rs
+++ b/crates/papayastack-daemon/tests/gateway/stutter.rs
@@ -62,6 +62,7 @@
     bytes
 }
 
+/// Answers requests on one connection, some of them twice, slowly or without a length.
 async fn serve(run: Arc<Run>, service: &'static str, stream: TcpStream, mut random: StdRng) {
     let names = PlatformIngress::new();
     let HeaderNames { request_id, seal, .. } = names.headers();
@@ -205,6 +206,30 @@
     }
 }
 
+/// Starts the upstreams of all services and writes their entries.
+async fn start_upstreams(run: &Arc<Run>, store: &PlatformStandin, random: &mut StdRng) {
+    for service in SERVICES {
+        for number in 0..UPSTREAMS_PER_SERVICE {
+            let listener = TcpListener::bind(any_port()).await.expect("a port is free");
+            let address = listener.local_addr().expect("a listener has an address");
+            let mut entry: serde_json::Value =
+                serde_json::from_str(BACKEND).expect("fixtures are JSON");
+            entry["address"] = json!(address);
+            entry["service"] = json!(service);
+            store.put_object(&ObjectName::new("servers", format!("i-{service}-{number}")), entry);
+            let (run, seed) = (Arc::clone(run), random.random());
+            tokio::spawn(async move {
+                let mut random = StdRng::seed_from_u64(seed);
+                while let Ok((stream, _)) = listener.accept().await {
+                    let seed = random.random();
+                    let random = StdRng::seed_from_u64(seed);
+                    tokio::spawn(serve(Arc::clone(&run), service, stream, random));
+                }
+            });
+        }
+    }
+}
+
 async fn start_vm(run: &Run, store: &PlatformStandin) -> GatewayProcess {
     let mut process = GatewayProcess::start(store.address()).await;
     let name = format!("{}-{}.log", run.seed, process.caller_address.port());
@@ -234,26 +259,7 @@
         failed: AtomicU64::new(0),
         ended: AtomicBool::new(false),
     });
-    for service in SERVICES {
-        for number in 0..UPSTREAMS_PER_SERVICE {
-            let listener = TcpListener::bind(any_port()).await.expect("a port is free");
-            let address = listener.local_addr().expect("a listener has an address");
-            let mut entry: serde_json::Value =
-                serde_json::from_str(BACKEND).expect("fixtures are JSON");
-            entry["address"] = json!(address);
-            entry["service"] = json!(service);
-            store.put_object(&ObjectName::new("servers", format!("i-{service}-{number}")), entry);
-            let (run, seed) = (Arc::clone(&run), random.random());
-            tokio::spawn(async move {
-                let mut random = StdRng::seed_from_u64(seed);
-                while let Ok((stream, _)) = listener.accept().await {
-                    let seed = random.random();
-                    let random = StdRng::seed_from_u64(seed);
-                    tokio::spawn(serve(Arc::clone(&run), service, stream, random));
-                }
-            });
-        }
-    }
+    start_upstreams(&run, &store, &mut random).await;
     let mut processes = Vec::new();
     for _ in 0..vms {
         processes.push(start_vm(&run, &store).await);
